--- /dev/null
+++ b/src/app/app.c
@@ -0,0 +1,120 @@
+#include "app/app.h"
+#include "app/clock.h"
+#include "app/log.h"
+
+#include <errno.h>
+#include <string.h>
+#include <time.h>
+
+#define STACK (256 * 1024)
+
+void rr_app_wait(struct rr_app *a, pthread_cond_t *c, pthread_mutex_t *m, double seconds) {
+    double until = rr_now() + seconds;
+    struct timespec ts = {(time_t)until, (long)((until - (double)(time_t)until) * 1e9)};
+    (void)a;
+    pthread_cond_timedwait(c, m, &ts);
+}
+
+void rr_app_kick(struct rr_app *a) {
+    a->kicks++;
+    pthread_cond_broadcast(&a->work);
+}
+
+bool rr_app_wait_epoch(struct rr_app *a, uint64_t epoch, double until) {
+    while (rr_core_epoch(a->core) < epoch) {
+        double left = until - rr_now();
+        if (left <= 0 || atomic_load(&a->stop)) {
+            return false;
+        }
+        rr_app_wait(a, &a->mirrored, &a->lock, left);
+    }
+    return true;
+}
+
+static void on_peer_report(void *user, int peer, const void *body, size_t len) {
+    rr_app_take_report(user, body, len, peer);
+}
+
+static void cond_init(pthread_cond_t *c) {
+    pthread_condattr_t a;
+    pthread_condattr_init(&a);
+    pthread_condattr_setclock(&a, CLOCK_MONOTONIC);
+    pthread_cond_init(c, &a);
+    pthread_condattr_destroy(&a);
+}
+
+static int run(struct rr_app *a, void *(*duty)(void *)) {
+    pthread_attr_t attr;
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, STACK);
+    int rc = pthread_create(&a->threads[a->nthreads], &attr, duty, a);
+    pthread_attr_destroy(&attr);
+    a->nthreads += rc == 0;
+    return -rc;
+}
+
+int rr_app_start(struct rr_app *a) {
+    static void *(*const duties[])(void *) = {rr_duty_session,   rr_duty_watch,   rr_duty_term,
+                                              rr_duty_committer, rr_duty_barrier, rr_duty_planner,
+                                              rr_duty_steward};
+    struct rr_peer_events ev = {a, on_peer_report};
+    pthread_mutex_init(&a->lock, NULL);
+    pthread_mutex_init(&a->user_lock, NULL);
+    cond_init(&a->mirrored);
+    cond_init(&a->work);
+    cond_init(&a->do_wake);
+    cond_init(&a->user_wake);
+    cond_init(&a->user_done);
+    g_queue_init(&a->do_queue);
+    g_queue_init(&a->commits);
+    a->core = rr_core_create(&a->cfg);
+    rr_core_set_log(a->core, rr_log_line);
+    a->budget = rr_budget_create(a->cfg.state_rps, a->cfg.state_write_rps);
+    a->peers = rr_peers_create(&a->cfg, &ev, &a->stop);
+    int rc = rr_peers_start(a->peers);
+    if (rc != 0) {
+        rr_log(RR_ERROR_LEVEL, "peer_listen: %s", strerror(-rc));
+        goto fail;
+    }
+    a->door = rr_door_start(&a->cfg, rr_app_handle, a);
+    if (!a->door) {
+        rr_log(RR_ERROR_LEVEL, "bind: can't listen on %s:%u", a->cfg.bind.host, a->cfg.bind.port);
+        rc = -EADDRINUSE;
+        goto fail;
+    }
+    for (size_t i = 0; rc == 0 && i < G_N_ELEMENTS(duties); i++) {
+        rc = run(a, duties[i]);
+    }
+    for (int i = 0; rc == 0 && i < a->cfg.tune.senders; i++) {
+        rc = run(a, rr_duty_sender);
+    }
+    if (rc == 0) {
+        return 0;
+    }
+    rr_log(RR_ERROR_LEVEL, "threads: %s", strerror(-rc));
+fail:
+    rr_app_stop(a);
+    return rc;
+}
+
+void rr_app_stop(struct rr_app *a) {
+    atomic_store(&a->stop, true);
+    pthread_mutex_lock(&a->lock);
+    pthread_cond_broadcast(&a->mirrored);
+    pthread_cond_broadcast(&a->work);
+    pthread_cond_broadcast(&a->do_wake);
+    pthread_mutex_unlock(&a->lock);
+    pthread_mutex_lock(&a->user_lock);
+    pthread_cond_broadcast(&a->user_wake);
+    pthread_cond_broadcast(&a->user_done);
+    pthread_mutex_unlock(&a->user_lock);
+    rr_door_stop(a->door); /* joins the connections' threads, which wait on the duties at most */
+    for (int i = 0; i < a->nthreads; i++) {
+        pthread_join(a->threads[i], NULL);
+    }
+    rr_peers_stop(a->peers);
+    rr_peers_destroy(a->peers);
+    g_queue_clear_full(&a->do_queue, (GDestroyNotify)rr_do_free);
+    rr_budget_destroy(a->budget);
+    rr_core_destroy(a->core);
+}
--- /dev/null
+++ b/src/app/app.h
@@ -0,0 +1,83 @@
+/* The shell round the core: one process's state, and the duties that run on it. */
+#ifndef RR_APP_APP_H
+#define RR_APP_APP_H
+
+#include "core/core.h"
+#include "http/door.h"
+#include "peer/peer.h"
+#include "store/store.h"
+
+#include <pthread.h>
+
+struct rr_app {
+    struct rr_config cfg;
+    atomic_bool stop;
+
+    /* The core and everything below, down to the next blank line, is under `lock`. No I/O under it. */
+    pthread_mutex_t lock;
+    pthread_cond_t mirrored; /* the mirror moved on */
+    pthread_cond_t work;     /* planner and steward have something to look at */
+    rr_core *core;
+    uint64_t kicks;          /* counts wakes of `work` */
+    bool store_down;         /* the last call of a user's request to the store failed */
+    double store_ok_at;
+    GQueue do_queue;         /* rr_do* */
+    pthread_cond_t do_wake;
+
+    /* Commits for users, and polls that wait for a barrier: under `user_lock`. */
+    pthread_mutex_t user_lock;
+    pthread_cond_t user_wake;  /* the committer and the barrier have work */
+    pthread_cond_t user_done;  /* some are served */
+    GQueue commits;            /* struct rr_user_commit* */
+    uint64_t barrier_asked, barrier_served; /* polls by turn */
+    uint64_t barrier_epoch;
+    bool barrier_failed;
+    uint64_t barrier_failed_upto;
+
+    rr_budget *budget;
+    rr_peers *peers;
+    rr_door *door;
+    pthread_t threads[80];
+    int nthreads;
+};
+
+/* A user's change waiting for its transaction. */
+struct rr_user_commit {
+    char key[96];
+    rr_out value;
+    uint64_t mark;   /* guard */
+    double until;    /* given up after */
+    bool finished;
+    enum rr_commit outcome;
+    uint64_t epoch;
+    bool doubted;    /* an earlier try went unanswered */
+};
+
+/* 0; -errno if something could not be started (then nothing runs). */
+int rr_app_start(struct rr_app *a);
+void rr_app_stop(struct rr_app *a);
+
+/* Wakes planner and steward; caller holds `lock`. */
+void rr_app_kick(struct rr_app *a);
+/* Waits until the mirror has reached epoch. Caller holds `lock`. */
+bool rr_app_wait_epoch(struct rr_app *a, uint64_t epoch, double until);
+void rr_app_wait(struct rr_app *a, pthread_cond_t *c, pthread_mutex_t *m, double seconds);
+/* Repeats a transaction until its outcome is certain; see duties.c. */
+enum rr_commit rr_app_commit(struct rr_app *a, rr_store *s, enum rr_prio prio, const rr_txn *t,
+                             uint64_t *epoch);
+void rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via);
+
+/* handlers.c */
+void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs);
+
+/* duties: one thread each */
+void *rr_duty_session(void *app);
+void *rr_duty_term(void *app);
+void *rr_duty_watch(void *app);
+void *rr_duty_committer(void *app);
+void *rr_duty_barrier(void *app);
+void *rr_duty_planner(void *app);
+void *rr_duty_steward(void *app);
+void *rr_duty_sender(void *app);
+
+#endif
--- /dev/null
+++ b/src/app/clock.c
@@ -0,0 +1,25 @@
+#include "app/clock.h"
+
+#include <time.h>
+
+static double read_clock(clockid_t id) {
+    struct timespec ts;
+    clock_gettime(id, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+double rr_now(void) {
+    return read_clock(CLOCK_MONOTONIC);
+}
+
+double rr_wall(void) {
+    return read_clock(CLOCK_REALTIME);
+}
+
+void rr_sleep(double seconds) {
+    if (seconds <= 0) {
+        return;
+    }
+    struct timespec ts = {(time_t)seconds, (long)((seconds - (double)(time_t)seconds) * 1e9)};
+    nanosleep(&ts, NULL);
+}
--- /dev/null
+++ b/src/app/duties.c
@@ -0,0 +1,742 @@
+/* The long-lived duties, one thread each: session, term, watch, the users' committer and barrier,
+ * planner, steward, senders. All block with a bound and look at `stop` after each wait. */
+#include "app/app.h"
+#include "app/clock.h"
+#include "app/log.h"
+#include "cloud/cloud.h"
+#include "worker/worker.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+static bool stopping(const struct rr_app *a) {
+    return atomic_load(&a->stop);
+}
+
+static void pause_for(struct rr_app *a, double seconds) {
+    while (seconds > 0 && !stopping(a)) {
+        double s = seconds < 0.5 ? seconds : 0.5;
+        rr_sleep(s);
+        seconds -= s;
+    }
+}
+
+static rr_store *open_store(struct rr_app *a) {
+    return rr_store_create(&a->cfg.state, a->budget, &a->stop);
+}
+
+/* Until the outcome is certain. An unanswered transaction may still be carried out late, and a task
+ * placed anew meanwhile would then stand in the ledger twice. The same transaction sent again
+ * settles it: its guards hold at most once, since it changes the keys that it guards. */
+enum rr_commit rr_app_commit(struct rr_app *a, rr_store *s, enum rr_prio prio, const rr_txn *t,
+                             uint64_t *epoch) {
+    bool doubted = false;
+    for (;;) {
+        enum rr_commit rc = rr_store_commit(s, prio, t, 2.0, epoch, NULL);
+        if (rc == RR_COMMITTED || rc == RR_CONFLICT || rc == RR_NO_LEASE) {
+            return rc;
+        }
+        if (stopping(a) || (rc == RR_REFUSED && !doubted)) {
+            return rc;
+        }
+        doubted = doubted || rc == RR_DOUBT;
+        pause_for(a, 0.2);
+    }
+}
+
+/* ---- session ---- */
+
+static void set_session(struct rr_app *a, uint64_t tether, double until) {
+    pthread_mutex_lock(&a->lock);
+    rr_core_set_session(a->core, tether, until);
+    rr_app_kick(a);
+    pthread_cond_broadcast(&a->mirrored);
+    pthread_mutex_unlock(&a->lock);
+}
+
+/* Takes over from our own last incarnation in one change, so that an ordinary restart costs one
+ * term; its lease is ended after. */
+static int take_session(struct rr_app *a, rr_store *s, uint64_t *tether) {
+    char key[RR_NAME + 16];
+    uint64_t mark = 0, old = 0, epoch;
+    double life = rr_session_s(&a->cfg);
+    rr_doc doc;
+    rr_txn t;
+    rr_out o;
+    g_snprintf(key, sizeof key, RR_ROOT "node/%s", a->cfg.node_name);
+    int rc = rr_store_get(s, key, &doc, &mark, &old);
+    if (rc == 0) {
+        rr_doc_clear(&doc);
+    } else if (rc != -ENOENT) {
+        return rc;
+    }
+    double sent = rr_now();
+    rc = rr_store_lease(s, life, tether);
+    if (rc != 0) {
+        return rc;
+    }
+    rr_txn_init(&t);
+    rr_out_init(&o);
+    rr_core_node_put(&o, *tether);
+    rr_txn_guard(&t, key, mark);
+    rr_txn_put(&t, key, &o, *tether);
+    rc = rr_store_commit(s, RR_PRIO_SESSION, &t, 1.5, &epoch, NULL) == RR_COMMITTED ? 0 : -EAGAIN;
+    rr_txn_clear(&t);
+    if (rc != 0) {
+        rr_store_end_lease(s, *tether);
+        return rc;
+    }
+    if (old) {
+        rr_store_end_lease(s, old);
+    }
+    /* Our steady clock may run slow against the store's: drift and a little more come off. */
+    set_session(a, *tether, sent + life * 0.998 - 0.1);
+    rr_log(RR_INFO_LEVEL, "session %" G_GUINT64_FORMAT " for %.1f s", *tether, life);
+    return 0;
+}
+
+/* The key may have been overwritten by a late change of an earlier incarnation. */
+static bool session_lost(struct rr_app *a, uint64_t tether, double since) {
+    pthread_mutex_lock(&a->lock);
+    bool lost = rr_core_loaded(a->core) && rr_now() - since > 3 &&
+                !rr_core_session_seen(a->core, tether) && rr_now() - a->store_ok_at < 1;
+    pthread_mutex_unlock(&a->lock);
+    return lost;
+}
+
+static int renew(struct rr_app *a, rr_store *s, uint64_t tether) {
+    double life = rr_session_s(&a->cfg), sent = rr_now();
+    int rc = rr_store_renew(s, tether);
+    if (rc == 0) {
+        set_session(a, tether, sent + life * 0.998 - 0.1);
+        pthread_mutex_lock(&a->lock);
+        a->store_ok_at = rr_now();
+        pthread_mutex_unlock(&a->lock);
+    }
+    return rc;
+}
+
+void *rr_duty_session(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    double life = rr_session_s(&a->cfg), step = life / 9 < 0.3 ? 0.3 : life / 9, since = 0;
+    uint64_t tether = 0;
+    while (!stopping(a)) {
+        if (!tether) {
+            if (take_session(a, s, &tether) != 0) {
+                tether = 0;
+                pause_for(a, 0.3);
+                continue;
+            }
+            since = rr_now();
+        }
+        pause_for(a, step);
+        int rc = renew(a, s, tether);
+        if (rc == -ENOENT || session_lost(a, tether, since)) {
+            rr_log(RR_INFO_LEVEL, "session %" G_GUINT64_FORMAT " has ended", tether);
+            set_session(a, 0, 0);
+            tether = 0;
+        } else if (rc != 0) {
+            rr_log(RR_DEBUG_LEVEL, "session not renewed");
+        }
+    }
+    if (tether) {
+        rr_store_end_lease(s, tether);
+    }
+    rr_store_destroy(s);
+    return NULL;
+}
+
+/* ---- terms ---- */
+
+void *rr_duty_term(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    uint64_t seen = 0;
+    while (!stopping(a)) {
+        rr_txn t;
+        uint64_t epoch;
+        rr_txn_init(&t);
+        pthread_mutex_lock(&a->lock);
+        bool change = rr_core_next_term(a->core, rr_now(), rr_wall(), &t);
+        uint64_t token = rr_core_token(a->core);
+        unsigned live = rr_core_live(a->core);
+        if (!change) {
+            rr_app_wait(a, &a->mirrored, &a->lock, 1.0);
+        }
+        pthread_mutex_unlock(&a->lock);
+        if (token != seen) {
+            seen = token;
+            rr_budget_share(a->budget, live);
+            rr_log(RR_INFO_LEVEL, "term %" G_GUINT64_FORMAT " with %u controllers", token, live);
+        }
+        if (change) {
+            enum rr_commit rc = rr_store_commit(s, RR_PRIO_SESSION, &t, 1.5, &epoch, NULL);
+            if (rc == RR_COMMITTED || rc == RR_CONFLICT) {
+                pthread_mutex_lock(&a->lock);
+                rr_app_wait_epoch(a, epoch, rr_now() + 1);
+                pthread_mutex_unlock(&a->lock);
+            } else {
+                pause_for(a, 0.3);
+            }
+        }
+        rr_txn_clear(&t);
+    }
+    rr_store_destroy(s);
+    return NULL;
+}
+
+/* ---- the mirror ---- */
+
+struct row {
+    const char *key;
+    const msgpack_object *value; /* NULL: deleted */
+    uint64_t mark;
+};
+
+static gint by_mark(gconstpointer a, gconstpointer b) {
+    const struct row *x = a, *y = b;
+    return x->mark < y->mark ? -1 : x->mark > y->mark;
+}
+
+static bool row_of(const msgpack_object *o, const char *name, char *key, size_t size,
+                   uint64_t *mark) {
+    return rr_get_text(o, name, key, size) && rr_get_u64(o, "mark", mark);
+}
+
+/* Pages are read without the lock and applied at once: nobody sees half a state. The changes since
+ * the first page come with the watch; older marks never undo newer ones. */
+static int reread(struct rr_app *a, rr_store *s) {
+    GPtrArray *docs = g_ptr_array_new();
+    char from[256] = "";
+    uint64_t first = 0;
+    bool more = true;
+    int rc = 0;
+    while (more && rc == 0 && !stopping(a)) {
+        rr_doc *d = g_new0(rr_doc, 1);
+        rc = rr_store_list(s, RR_ROOT, from[0] ? from : NULL, d);
+        if (rc != 0) {
+            g_free(d);
+            break;
+        }
+        g_ptr_array_add(docs, d);
+        const msgpack_object *rows = rr_get(d->root, "rows");
+        uint64_t epoch = 0;
+        more = false;
+        if (!rr_get_u64(d->root, "epoch", &epoch) || !rows ||
+            rows->type != MSGPACK_OBJECT_ARRAY) {
+            rc = -EAGAIN;
+            break;
+        }
+        first = first ? first : epoch;
+        rr_get_bool(d->root, "more", &more);
+        if (rows->via.array.size) {
+            rr_get_text(&rows->via.array.ptr[rows->via.array.size - 1], "path", from, sizeof from);
+        }
+    }
+    pthread_mutex_lock(&a->lock);
+    if (rc == 0 && !stopping(a)) {
+        double now = rr_now();
+        rr_core_mirror_begin(a->core);
+        for (guint i = 0; i < docs->len; i++) {
+            const msgpack_object *rows = rr_get(((rr_doc *)docs->pdata[i])->root, "rows");
+            for (uint32_t k = 0; k < rows->via.array.size; k++) {
+                const msgpack_object *o = &rows->via.array.ptr[k];
+                char key[256];
+                uint64_t mark;
+                if (row_of(o, "path", key, sizeof key, &mark) && rr_get(o, "v")) {
+                    rr_core_mirror_put(a->core, key, rr_get(o, "v"), mark, now);
+                }
+            }
+        }
+        rr_core_mirror_end(a->core, now);
+        rr_core_set_epoch(a->core, first);
+        pthread_cond_broadcast(&a->mirrored);
+        rr_app_kick(a);
+    }
+    pthread_mutex_unlock(&a->lock);
+    for (guint i = 0; i < docs->len; i++) {
+        rr_doc_clear(docs->pdata[i]);
+        g_free(docs->pdata[i]);
+    }
+    g_ptr_array_free(docs, TRUE);
+    return rc;
+}
+
+/* The log comes in no promised order; a record may speak of an older one, so by mark. */
+static int apply_log(struct rr_app *a, const rr_doc *d) {
+    const msgpack_object *log = rr_get(d->root, "log");
+    uint64_t epoch;
+    if (!rr_get_u64(d->root, "epoch", &epoch) || (log && log->type != MSGPACK_OBJECT_ARRAY)) {
+        return -EBADMSG;
+    }
+    uint32_t n = log ? log->via.array.size : 0;
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct row));
+    GStringChunk *keys = g_string_chunk_new(1024);
+    for (uint32_t i = 0; i < n; i++) {
+        const msgpack_object *o = &log->via.array.ptr[i];
+        char key[256];
+        struct row r = {0};
+        bool put = rr_get(o, "put") != NULL;
+        if (row_of(o, put ? "put" : "delete", key, sizeof key, &r.mark) && (!put || rr_get(o, "v"))) {
+            r.key = g_string_chunk_insert(keys, key);
+            r.value = put ? rr_get(o, "v") : NULL;
+            g_array_append_val(rows, r);
+        }
+    }
+    g_array_sort(rows, by_mark);
+    pthread_mutex_lock(&a->lock);
+    double now = rr_now();
+    for (guint i = 0; i < rows->len; i++) {
+        const struct row *r = &g_array_index(rows, struct row, i);
+        if (r->value) {
+            rr_core_mirror_put(a->core, r->key, r->value, r->mark, now);
+        } else {
+            rr_core_mirror_delete(a->core, r->key, r->mark, now);
+        }
+    }
+    rr_core_set_epoch(a->core, epoch);
+    a->store_ok_at = now;
+    pthread_cond_broadcast(&a->mirrored);
+    if (rows->len) {
+        rr_app_kick(a);
+    }
+    pthread_mutex_unlock(&a->lock);
+    g_array_free(rows, TRUE);
+    g_string_chunk_free(keys);
+    return 0;
+}
+
+void *rr_duty_watch(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    bool loaded = false;
+    while (!stopping(a)) {
+        rr_doc d;
+        if (!loaded) {
+            loaded = reread(a, s) == 0;
+            if (!loaded) {
+                pause_for(a, 0.3);
+            }
+            continue;
+        }
+        pthread_mutex_lock(&a->lock);
+        uint64_t from = rr_core_epoch(a->core);
+        pthread_mutex_unlock(&a->lock);
+        int rc = rr_store_watch(s, RR_ROOT, from, 8000, &d);
+        if (rc == 0) {
+            rc = apply_log(a, &d);
+            rr_doc_clear(&d);
+        }
+        if (rc == -ESTALE) {
+            rr_log(RR_INFO_LEVEL, "mirror too old: reading all again");
+            loaded = false;
+        } else if (rc != 0) {
+            pause_for(a, 0.25);
+        }
+    }
+    rr_store_destroy(s);
+    return NULL;
+}
+
+/* ---- users' commits and barriers ---- */
+
+static guint take_batch(struct rr_app *a, struct rr_user_commit **batch, guint most) {
+    guint n = 0;
+    size_t bytes = 0;
+    pthread_mutex_lock(&a->user_lock);
+    while (!stopping(a) && g_queue_is_empty(&a->commits)) {
+        rr_app_wait(a, &a->user_wake, &a->user_lock, 1.0);
+    }
+    while (n < most && !g_queue_is_empty(&a->commits)) {
+        struct rr_user_commit *u = g_queue_peek_head(&a->commits);
+        bytes += u->value.buf.size + 200;
+        if (n > 0 && bytes > 40 * 1024) {
+            break;
+        }
+        batch[n++] = g_queue_pop_head(&a->commits);
+    }
+    pthread_mutex_unlock(&a->user_lock);
+    return n;
+}
+
+static bool listed(const GPtrArray *failed, const char *key) {
+    for (guint i = 0; i < failed->len; i++) {
+        if (strcmp(g_ptr_array_index(failed, i), key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void settle(struct rr_app *a, struct rr_user_commit **batch, guint n, enum rr_commit rc,
+                   uint64_t epoch, const GPtrArray *failed) {
+    double now = rr_now();
+    pthread_mutex_lock(&a->user_lock);
+    for (guint i = 0; i < n; i++) {
+        struct rr_user_commit *u = batch[i];
+        u->outcome = rc;
+        u->epoch = epoch;
+        u->doubted = u->doubted || rc == RR_DOUBT;
+        /* A conflict names its keys; the others of the batch go again. */
+        bool again = rc == RR_CONFLICT && n > 1 && !listed(failed, u->key);
+        again = again || ((rc == RR_REFUSED || rc == RR_DOUBT) && now < u->until);
+        if (again && !stopping(a)) {
+            g_queue_push_tail(&a->commits, u);
+        } else {
+            u->finished = true;
+        }
+    }
+    pthread_cond_broadcast(&a->user_done);
+    pthread_mutex_unlock(&a->user_lock);
+}
+
+void *rr_duty_committer(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    struct rr_user_commit *batch[64];
+    guint most = a->cfg.txn_ops < 64 ? (guint)a->cfg.txn_ops : 64;
+    while (!stopping(a)) {
+        guint n = take_batch(a, batch, most);
+        if (n == 0) {
+            continue;
+        }
+        rr_txn t;
+        rr_txn_init(&t);
+        GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
+        for (guint i = 0; i < n; i++) {
+            rr_change ch = {g_strdup(batch[i]->key),
+                            g_memdup2(batch[i]->value.buf.data, batch[i]->value.buf.size),
+                            batch[i]->value.buf.size, 0};
+            rr_txn_guard(&t, batch[i]->key, batch[i]->mark);
+            g_array_append_val(t.changes, ch);
+        }
+        uint64_t epoch = 0;
+        enum rr_commit rc = rr_store_commit(s, RR_PRIO_USER, &t, 1.0, &epoch, failed);
+        rr_txn_clear(&t);
+        pthread_mutex_lock(&a->lock);
+        a->store_down = rc == RR_REFUSED || rc == RR_DOUBT;
+        if (!a->store_down) {
+            a->store_ok_at = rr_now();
+        }
+        pthread_mutex_unlock(&a->lock);
+        settle(a, batch, n, rc, epoch, failed);
+        g_ptr_array_free(failed, TRUE);
+        if (rc == RR_REFUSED || rc == RR_DOUBT) {
+            pause_for(a, 0.1);
+        }
+    }
+    pthread_mutex_lock(&a->user_lock);
+    struct rr_user_commit *u;
+    while ((u = g_queue_pop_head(&a->commits))) {
+        u->finished = true;
+        u->outcome = RR_REFUSED;
+    }
+    pthread_cond_broadcast(&a->user_done);
+    pthread_mutex_unlock(&a->user_lock);
+    rr_store_destroy(s);
+    return NULL;
+}
+
+/* One read of the store's revision serves all polls that were waiting when it was sent. */
+void *rr_duty_barrier(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    double last = 0;
+    while (!stopping(a)) {
+        pthread_mutex_lock(&a->user_lock);
+        while (!stopping(a) && a->barrier_asked <= a->barrier_served) {
+            rr_app_wait(a, &a->user_wake, &a->user_lock, 1.0);
+        }
+        pthread_mutex_unlock(&a->user_lock);
+        pthread_mutex_lock(&a->lock);
+        unsigned live = rr_core_live(a->core);
+        pthread_mutex_unlock(&a->lock);
+        /* Under load polls gather: reads take a third of our share of requests at most. */
+        rr_sleep(last + 3.0 * (live ? live : 1) / a->cfg.state_rps - rr_now());
+        pthread_mutex_lock(&a->user_lock);
+        uint64_t turn = a->barrier_asked, epoch = 0;
+        pthread_mutex_unlock(&a->user_lock);
+        last = rr_now();
+        int rc = rr_store_epoch(s, &epoch, 0.8);
+        pthread_mutex_lock(&a->user_lock);
+        a->barrier_served = turn;
+        if (rc == 0) {
+            a->barrier_epoch = epoch;
+        } else {
+            a->barrier_failed_upto = turn;
+        }
+        pthread_cond_broadcast(&a->user_done);
+        pthread_mutex_unlock(&a->user_lock);
+    }
+    rr_store_destroy(s);
+    return NULL;
+}
+
+/* ---- planning ---- */
+
+static void queue_dos(struct rr_app *a, rr_plan *p) {
+    for (guint i = 0; i < p->dos->len; i++) {
+        g_queue_push_tail(&a->do_queue, g_ptr_array_index(p->dos, i));
+    }
+    if (p->dos->len) {
+        g_ptr_array_set_free_func(p->dos, NULL);
+        g_ptr_array_set_size(p->dos, 0);
+        pthread_cond_broadcast(&a->do_wake);
+    }
+}
+
+void *rr_duty_planner(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    uint64_t kicks = 0, need = 0;
+    while (!stopping(a)) {
+        rr_plan p;
+        rr_plan_init(&p);
+        pthread_mutex_lock(&a->lock);
+        if (a->kicks == kicks) {
+            rr_app_wait(a, &a->work, &a->lock, 0.5);
+        }
+        kicks = a->kicks;
+        /* Until the mirror shows our last transaction, a plan would book the same again. */
+        if (rr_app_wait_epoch(a, need, rr_now() + 1)) {
+            rr_core_plan(a->core, rr_now(), rr_wall(), &p);
+            queue_dos(a, &p);
+        }
+        pthread_mutex_unlock(&a->lock);
+        if (p.has_txn) {
+            uint64_t epoch = 0;
+            enum rr_commit rc = rr_app_commit(a, s, RR_PRIO_PLAN, &p.txn, &epoch);
+            if (rc == RR_COMMITTED || rc == RR_CONFLICT) {
+                need = epoch;
+            } else {
+                rr_log(RR_DEBUG_LEVEL, "plan not committed");
+                pause_for(a, 0.2);
+            }
+        }
+        rr_plan_clear(&p);
+        pause_for(a, a->cfg.tune.plan_pause_ms / 1000);
+    }
+    rr_store_destroy(s);
+    return NULL;
+}
+
+/* ---- commands to workers ---- */
+
+/* Takes an answer's body as a report. True if it was one. */
+static bool take_answer(struct rr_app *a, const void *body, size_t len, int via) {
+    rr_doc doc;
+    rr_report r;
+    bool ok = false;
+    if (rr_doc_parse(&doc, body, len) == 0) {
+        ok = rr_report_decode(doc.root, &r) == 0;
+        if (ok) {
+            pthread_mutex_lock(&a->lock);
+            rr_core_report(a->core, rr_now(), &r, via);
+            pthread_mutex_unlock(&a->lock);
+        }
+        rr_report_clear(&r);
+    }
+    rr_doc_clear(&doc);
+    return ok;
+}
+
+static void send_do(struct rr_app *a, rr_client *client, const rr_do *d) {
+    rr_out o;
+    rr_reply reply = {0};
+    rr_relayed relayed = {0};
+    bool asked, ok = false;
+    long status = 0;
+    int rc = -ENOTCONN, via = d->via;
+    rr_out_init(&o);
+    rr_orders_encode(&o, d->warrant, d->tenure, d->orders);
+    if (via < 0) {
+        rc = rr_worker_call(client, d->addr, o.buf.data, o.buf.size, 2.0, &reply);
+        /* Only what surely was not sent may go another way. */
+        if (rc == -ENOTCONN && d->fallback >= 0) {
+            via = d->fallback;
+        } else if (rc == 0) {
+            status = reply.status;
+            ok = take_answer(a, reply.body->data, reply.body->len, -1);
+        }
+    }
+    if (via >= 0) {
+        rc = rr_peers_relay(a->peers, via, d->addr, o.buf.data, o.buf.size, 2.0, &relayed, &asked);
+        if (rc == 0) {
+            status = relayed.status;
+            ok = take_answer(a, relayed.body->data, relayed.body->len, via);
+        }
+    }
+    enum rr_do_outcome outcome = rc == -ENOTCONN ? RR_DO_NOT_SENT
+                                 : rc == 0 && ok && (status == 200 || status == 409)
+                                     ? RR_DO_ANSWERED
+                                     : RR_DO_DOUBT;
+    rr_log(RR_DEBUG_LEVEL, "do %s: %u orders, via %d: %s %ld", d->stone, d->orders->len, via,
+           outcome == RR_DO_ANSWERED ? "answered" : outcome == RR_DO_DOUBT ? "in doubt" : "not sent",
+           status);
+    pthread_mutex_lock(&a->lock);
+    rr_core_do_result(a->core, rr_now(), d, outcome, status == 200);
+    rr_app_kick(a);
+    pthread_mutex_unlock(&a->lock);
+    if (relayed.body) {
+        g_byte_array_free(relayed.body, TRUE);
+    }
+    rr_out_clear(&o);
+}
+
+void *rr_duty_sender(void *app) {
+    struct rr_app *a = app;
+    rr_client *client = rr_client_create(&a->stop);
+    while (!stopping(a)) {
+        pthread_mutex_lock(&a->lock);
+        while (!stopping(a) && g_queue_is_empty(&a->do_queue)) {
+            rr_app_wait(a, &a->do_wake, &a->lock, 1.0);
+        }
+        rr_do *d = g_queue_pop_head(&a->do_queue);
+        pthread_mutex_unlock(&a->lock);
+        if (d) {
+            send_do(a, client, d);
+            rr_do_free(d);
+        }
+    }
+    rr_client_destroy(client);
+    return NULL;
+}
+
+/* ---- renting ---- */
+
+static void build_clear(gpointer b) {
+    rr_build_clear(b);
+}
+
+static int do_catalog(struct rr_app *a, rr_cloud *cloud) {
+    GArray *builds = g_array_new(FALSE, TRUE, sizeof(rr_build));
+    g_array_set_clear_func(builds, build_clear);
+    int rc = rr_cloud_catalog(cloud, builds);
+    if (rc == 0) {
+        pthread_mutex_lock(&a->lock);
+        rr_core_catalog(a->core, rr_now(), builds);
+        pthread_mutex_unlock(&a->lock);
+    }
+    g_array_free(builds, TRUE);
+    return rc;
+}
+
+static int do_list(struct rr_app *a, rr_cloud *cloud) {
+    GArray *stones = g_array_new(FALSE, TRUE, sizeof(rr_stone));
+    double asked = rr_now();
+    int rc = rr_cloud_list(cloud, stones);
+    if (rc == 0) {
+        pthread_mutex_lock(&a->lock);
+        rr_core_listed(a->core, asked, rr_now(), rr_wall(), stones);
+        pthread_mutex_unlock(&a->lock);
+    }
+    g_array_free(stones, TRUE);
+    return rc;
+}
+
+static int do_hire(struct rr_app *a, rr_cloud *cloud, const rr_step *step) {
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    int status;
+    int rc = rr_cloud_hire(cloud, step->hire, step->build, step->ward, step->loaners,
+                           step->how_many, &status, ids);
+    pthread_mutex_lock(&a->lock);
+    rr_core_hired(a->core, rr_now(), step, status, ids);
+    pthread_mutex_unlock(&a->lock);
+    g_ptr_array_free(ids, TRUE);
+    return status == 503 ? 0 : rc;
+}
+
+static int do_release(struct rr_app *a, rr_cloud *cloud, const rr_step *step) {
+    int rc = rr_cloud_release(cloud, step->stones);
+    if (rc == 0) {
+        pthread_mutex_lock(&a->lock);
+        rr_core_released(a->core, rr_now(), step->stones);
+        pthread_mutex_unlock(&a->lock);
+    }
+    return rc;
+}
+
+/* A silent machine is asked directly and through every peer before anybody judges it. */
+static int do_probe(struct rr_app *a, rr_client *client, const rr_step *step) {
+    rr_reply reply;
+    uint32_t answered = 0;
+    bool alive = false;
+    if (rr_worker_call(client, step->addr, NULL, 0, 1.5, &reply) == 0 && reply.status == 200) {
+        alive = take_answer(a, reply.body->data, reply.body->len, -1);
+    }
+    for (size_t i = 0; !alive && i < a->cfg.npeers; i++) {
+        rr_relayed r = {0};
+        bool asked;
+        if (rr_peers_relay(a->peers, (int)i, step->addr, NULL, 0, 1.5, &r, &asked) == 0) {
+            alive = take_answer(a, r.body->data, r.body->len, (int)i);
+            g_byte_array_free(r.body, TRUE);
+        }
+        answered |= asked ? 1u << i : 0;
+    }
+    if (!alive) {
+        pthread_mutex_lock(&a->lock);
+        rr_core_probe_failed(a->core, rr_now(), step->stone, answered);
+        pthread_mutex_unlock(&a->lock);
+    }
+    return 0;
+}
+
+static int do_step(struct rr_app *a, rr_store *s, rr_cloud *cloud, rr_client *client,
+                   const rr_step *step, uint64_t *need) {
+    uint64_t epoch;
+    enum rr_commit rc;
+    switch (step->kind) {
+    case RR_STEP_CATALOG:
+        return do_catalog(a, cloud);
+    case RR_STEP_LIST:
+        return do_list(a, cloud);
+    case RR_STEP_HIRE:
+        return do_hire(a, cloud, step);
+    case RR_STEP_RELEASE:
+        return do_release(a, cloud, step);
+    case RR_STEP_PROBE:
+        return do_probe(a, client, step);
+    case RR_STEP_TXN:
+        rc = rr_app_commit(a, s, RR_PRIO_PLAN, &step->txn, &epoch);
+        if (rc != RR_COMMITTED && rc != RR_CONFLICT) {
+            return -EAGAIN;
+        }
+        *need = epoch;
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+void *rr_duty_steward(void *app) {
+    struct rr_app *a = app;
+    rr_store *s = open_store(a);
+    rr_cloud *cloud = rr_cloud_create(&a->cfg.cloud, a->cfg.cloud_rps, &a->stop);
+    rr_client *client = rr_client_create(&a->stop);
+    uint64_t need = 0;
+    while (!stopping(a)) {
+        rr_step step;
+        rr_step_init(&step);
+        pthread_mutex_lock(&a->lock);
+        if (rr_app_wait_epoch(a, need, rr_now() + 1)) {
+            rr_core_steward_step(a->core, rr_now(), rr_wall(), &step);
+        }
+        if (step.kind == RR_STEP_NONE) {
+            rr_app_wait(a, &a->mirrored, &a->lock, 0.3);
+        }
+        pthread_mutex_unlock(&a->lock);
+        int rc = do_step(a, s, cloud, client, &step, &need);
+        if (rc != 0) {
+            rr_log(RR_DEBUG_LEVEL, "steward step %d: %s", (int)step.kind, strerror(-rc));
+            /* Jitter keeps two nodes from knocking in step. */
+            pause_for(a, 0.3 + g_random_double_range(0, 0.4));
+        }
+        rr_step_clear(&step);
+    }
+    rr_client_destroy(client);
+    rr_cloud_destroy(cloud);
+    rr_store_destroy(s);
+    return NULL;
+}
--- /dev/null
+++ b/src/app/handlers.c
@@ -0,0 +1,335 @@
+/* What each request of users, workers and health checks gets. */
+#include "app/app.h"
+#include "app/clock.h"
+#include "app/log.h"
+
+#include <string.h>
+
+#define QUEUE_MAX 128 /* submissions that wait for the store at most */
+
+static void refuse(struct rr_response *rs, int status, const char *why, int retry_after_s) {
+    rs->status = status;
+    rs->retry_after_s = retry_after_s;
+    rr_put_map(&rs->body, 1);
+    rr_put_key_text(&rs->body, "error", why);
+}
+
+static void answer_standing(struct rr_response *rs, int status, const char *ref,
+                            const char *standing) {
+    rs->status = status;
+    rr_put_map(&rs->body, 2);
+    rr_put_key_text(&rs->body, "ref", ref);
+    rr_put_key_text(&rs->body, "standing", standing);
+}
+
+static void view_of(struct rr_app *a, const char *ref, rr_job_view *v) {
+    pthread_mutex_lock(&a->lock);
+    rr_core_job_view(a->core, ref, v);
+    pthread_mutex_unlock(&a->lock);
+}
+
+/* The job as of some moment after this call began: no node can have told a newer state before. Final
+ * states can't change and need no barrier. False: can't be told now. */
+static bool view_behind_barrier(struct rr_app *a, const char *ref, rr_job_view *v) {
+    view_of(a, ref, v);
+    if (v->known && (v->done || v->aborted)) {
+        return true;
+    }
+    double until = rr_now() + 1.6;
+    pthread_mutex_lock(&a->user_lock);
+    uint64_t turn = ++a->barrier_asked;
+    pthread_cond_broadcast(&a->user_wake);
+    while (!atomic_load(&a->stop) && a->barrier_served < turn && rr_now() < until) {
+        rr_app_wait(a, &a->user_done, &a->user_lock, until - rr_now());
+    }
+    bool ok = a->barrier_served >= turn && a->barrier_failed_upto < turn;
+    uint64_t epoch = a->barrier_epoch;
+    pthread_mutex_unlock(&a->user_lock);
+    if (!ok) {
+        return false;
+    }
+    pthread_mutex_lock(&a->lock);
+    ok = rr_core_loaded(a->core) && rr_app_wait_epoch(a, epoch, until);
+    rr_core_job_view(a->core, ref, v);
+    pthread_mutex_unlock(&a->lock);
+    return ok;
+}
+
+/* False if too many wait already. */
+static bool commit_for_user(struct rr_app *a, struct rr_user_commit *u) {
+    pthread_mutex_lock(&a->user_lock);
+    bool room = g_queue_get_length(&a->commits) < QUEUE_MAX;
+    if (room) {
+        g_queue_push_tail(&a->commits, u);
+        pthread_cond_broadcast(&a->user_wake);
+        /* Bounded: the committer gives every entry an outcome by its time, or at the stop. */
+        while (!u->finished) {
+            rr_app_wait(a, &a->user_done, &a->user_lock, 1.0);
+        }
+    }
+    pthread_mutex_unlock(&a->user_lock);
+    return room;
+}
+
+/* ---- submissions ---- */
+
+/* A job that was accepted before is answered 200, whatever the repeat says. False: not known. */
+static bool answer_known(struct rr_app *a, const char *ref, struct rr_response *rs) {
+    rr_job_view v;
+    if (!view_behind_barrier(a, ref, &v)) {
+        refuse(rs, 503, "state not reachable", 1);
+        return true;
+    }
+    if (v.known) {
+        answer_standing(rs, 200, ref, v.standing);
+    }
+    return v.known;
+}
+
+static void accept_job(struct rr_app *a, const rr_submission *s, struct rr_response *rs) {
+    struct rr_user_commit u = {.until = rr_now() + 1.5};
+    pthread_mutex_lock(&a->lock);
+    /* Known to be down: answered at once, with the time to come back. */
+    bool down = !rr_core_loaded(a->core) || (a->store_down && rr_now() - a->store_ok_at > 2);
+    if (down) {
+        a->store_down = false; /* the next one tries */
+    }
+    pthread_mutex_unlock(&a->lock);
+    if (down) {
+        refuse(rs, 503, "state not reachable", 2);
+        return;
+    }
+    rr_core_job_key(s->ref, u.key, sizeof u.key);
+    rr_out_init(&u.value);
+    rr_core_job_encode(&u.value, s, rr_wall(), false);
+    if ((double)u.value.buf.size > a->cfg.value_kb * 1024 - 64) {
+        refuse(rs, 400, "too large", 0);
+    } else if (!commit_for_user(a, &u)) {
+        refuse(rs, 503, "overloaded", 2);
+    } else if (u.outcome == RR_COMMITTED) {
+        answer_standing(rs, 201, s->ref, "queued");
+    } else if (u.outcome != RR_CONFLICT || !answer_known(a, s->ref, rs)) {
+        refuse(rs, 503, "state not reachable", 1);
+    }
+    rr_out_clear(&u.value);
+}
+
+static void submit(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
+    rr_doc doc;
+    rr_submission s;
+    const char *why = "not MessagePack";
+    char ref[RR_ID] = "";
+    int rc = rr_doc_parse(&doc, rq->body, rq->len);
+    if (rc == 0) {
+        rr_get_text(doc.root, "ref", ref, sizeof ref);
+        rc = rr_submission_decode(doc.root, &s, &why);
+    }
+    rr_doc_clear(&doc);
+    enum rr_admit admit = RR_ADMIT_NEVER;
+    if (rc == 0) {
+        pthread_mutex_lock(&a->lock);
+        admit = rr_core_admit(a->core, &s, &why);
+        pthread_mutex_unlock(&a->lock);
+    }
+    if (rc == 0 && admit == RR_ADMIT_OK) {
+        accept_job(a, &s, rs);
+        return;
+    }
+    /* Before a refusal for good: the job may be known where this mirror does not reach yet. */
+    if (rr_ref_valid(ref) && answer_known(a, ref, rs)) {
+        return;
+    }
+    if (rc != 0) {
+        refuse(rs, 400, why, 0);
+    } else if (admit == RR_ADMIT_NEVER) {
+        refuse(rs, 422, why, 0);
+    } else {
+        refuse(rs, 503, "not decidable yet", 1);
+    }
+}
+
+static void poll_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
+    rr_job_view v;
+    if (!rr_ref_valid(ref)) {
+        refuse(rs, 404, "no such job", 0);
+    } else if (!view_behind_barrier(a, ref, &v)) {
+        refuse(rs, 503, "state not reachable", 1);
+    } else if (!v.known) {
+        refuse(rs, 404, "no such job", 0);
+    } else {
+        rs->status = 200;
+        rr_put_map(&rs->body, 4);
+        rr_put_key_text(&rs->body, "ref", ref);
+        rr_put_key_text(&rs->body, "standing", v.standing);
+        rr_put_key_u64(&rs->body, "done", v.ndone);
+        rr_put_key_u64(&rs->body, "running", v.nrunning);
+    }
+}
+
+/* One try to record the cancellation. True: answered. */
+static bool try_cancel(struct rr_app *a, const char *ref, double until, struct rr_response *rs) {
+    struct rr_user_commit u = {.until = until};
+    rr_job_view v;
+    rr_out_init(&u.value);
+    rr_core_job_key(ref, u.key, sizeof u.key);
+    pthread_mutex_lock(&a->lock);
+    bool open = rr_core_cancel_record(a->core, ref, &u.value, &u.mark);
+    pthread_mutex_unlock(&a->lock);
+    bool answered = true;
+    if (!open) {
+        if (!view_behind_barrier(a, ref, &v)) {
+            refuse(rs, 503, "state not reachable", 1);
+        } else if (!v.known) {
+            refuse(rs, 404, "no such job", 0);
+        } else if (v.done || v.aborted) {
+            answer_standing(rs, 200, ref, v.standing);
+        } else {
+            answered = false; /* it came to be known just now */
+        }
+    } else if (!commit_for_user(a, &u)) {
+        refuse(rs, 503, "overloaded", 1);
+    } else if (u.outcome == RR_COMMITTED) {
+        rr_log(RR_INFO_LEVEL, "job %s is cancelled", ref);
+        answer_standing(rs, 200, ref, "aborted");
+    } else if (u.outcome == RR_CONFLICT) {
+        pthread_mutex_lock(&a->lock);
+        answered = !rr_app_wait_epoch(a, u.epoch, until);
+        pthread_mutex_unlock(&a->lock);
+        if (answered) {
+            refuse(rs, 503, "state not reachable", 1);
+        }
+    } else {
+        refuse(rs, 503, "state not reachable", 1);
+    }
+    rr_out_clear(&u.value);
+    return answered;
+}
+
+static void cancel_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
+    double until = rr_now() + 2.5;
+    if (!rr_ref_valid(ref)) {
+        refuse(rs, 404, "no such job", 0);
+        return;
+    }
+    while (!try_cancel(a, ref, until, rs)) {
+        if (rr_now() > until || atomic_load(&a->stop)) {
+            refuse(rs, 503, "busy", 1);
+            return;
+        }
+    }
+}
+
+/* ---- workers ---- */
+
+void rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via) {
+    rr_doc doc;
+    rr_report r;
+    if (rr_doc_parse(&doc, body, len) == 0) {
+        if (rr_report_decode(doc.root, &r) == 0) {
+            pthread_mutex_lock(&a->lock);
+            if (rr_core_report(a->core, rr_now(), &r, via)) {
+                rr_app_kick(a);
+            }
+            pthread_mutex_unlock(&a->lock);
+        }
+        rr_report_clear(&r);
+    }
+    rr_doc_clear(&doc);
+}
+
+static void hello(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
+    rr_doc doc;
+    rr_report r = {0};
+    struct rr_answer ans = {0};
+    int rc = rr_doc_parse(&doc, rq->body, rq->len);
+    if (rc == 0) {
+        rc = rr_report_decode(doc.root, &r);
+    }
+    rr_doc_clear(&doc);
+    if (rc != 0) {
+        rr_report_clear(&r);
+        rr_log(RR_INFO_LEVEL, "unreadable report of %zu bytes", rq->len);
+        refuse(rs, 400, "unreadable report", 0);
+        return;
+    }
+    pthread_mutex_lock(&a->lock);
+    rr_core_answer(a->core, rr_now(), &r, &ans);
+    if (rr_core_report(a->core, rr_now(), &r, -1)) {
+        rr_app_kick(a);
+    }
+    pthread_mutex_unlock(&a->lock);
+    rr_peers_report(a->peers, rq->body, rq->len);
+    rs->status = ans.status;
+    if (ans.status == 200) {
+        rr_orders_encode(&rs->body, ans.warrant, 0, ans.orders);
+        g_array_free(ans.orders, TRUE);
+    } else {
+        rr_put_map(&rs->body, ans.peer ? 1 : 0);
+        if (ans.peer) {
+            rr_put_key_text(&rs->body, "answers_to", ans.peer);
+        }
+    }
+}
+
+static void ready(struct rr_app *a, struct rr_response *rs) {
+    pthread_mutex_lock(&a->lock);
+    bool ok = rr_core_ready(a->core, rr_now());
+    pthread_mutex_unlock(&a->lock);
+    if (ok) {
+        rs->status = 200;
+    } else {
+        refuse(rs, 503, "not ready", 1);
+    }
+}
+
+/* ---- routes ---- */
+
+static bool expect(const struct rr_request *rq, const char *method, struct rr_response *rs) {
+    if (strcmp(rq->method, method) == 0) {
+        return true;
+    }
+    refuse(rs, 405, "wrong method", 0);
+    rs->allow = method;
+    return false;
+}
+
+static void route_job(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs,
+                      const char *rest) {
+    char ref[RR_ID];
+    const char *slash = strchr(rest, '/');
+    size_t n = slash ? (size_t)(slash - rest) : strlen(rest);
+    if (n >= sizeof ref || (slash && strcmp(slash, "/cancel") != 0)) {
+        refuse(rs, 404, "no such path", 0);
+        return;
+    }
+    memcpy(ref, rest, n);
+    ref[n] = 0;
+    if (slash) {
+        if (expect(rq, "POST", rs)) {
+            cancel_job(a, ref, rs);
+        }
+    } else if (expect(rq, "GET", rs)) {
+        poll_job(a, ref, rs);
+    }
+}
+
+void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs) {
+    struct rr_app *a = user;
+    if (strcmp(rq->path, "/hello") == 0) {
+        if (expect(rq, "POST", rs)) {
+            hello(a, rq, rs);
+        }
+    } else if (strcmp(rq->path, "/submissions") == 0) {
+        if (expect(rq, "POST", rs)) {
+            submit(a, rq, rs);
+        }
+    } else if (strcmp(rq->path, "/ready") == 0) {
+        if (expect(rq, "GET", rs)) {
+            ready(a, rs);
+        }
+    } else if (strncmp(rq->path, "/submissions/", 13) == 0) {
+        route_job(a, rq, rs, rq->path + 13);
+    } else {
+        refuse(rs, 404, "no such path", 0);
+    }
+}
--- /dev/null
+++ b/src/app/log.c
@@ -0,0 +1,54 @@
+#include "app/log.h"
+#include "app/clock.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+static int max_level = RR_INFO_LEVEL;
+static char node[64] = "ringrock";
+static const char *const names[] = {"error", "info", "debug"};
+
+int rr_log_set_level(const char *name) {
+    for (int i = 0; name && i < 3; i++) {
+        if (strcmp(name, names[i]) == 0) {
+            max_level = i;
+            return 0;
+        }
+    }
+    return name ? -EINVAL : 0;
+}
+
+void rr_log_node(const char *node_name) {
+    g_strlcpy(node, node_name, sizeof node);
+}
+
+void rr_log(int level, const char *fmt, ...) {
+    if (level > max_level) {
+        return;
+    }
+    char line[640];
+    va_list ap;
+    va_start(ap, fmt);
+    vsnprintf(line, sizeof line, fmt, ap);
+    va_end(ap);
+    double wall = rr_wall();
+    time_t t = (time_t)wall;
+    struct tm tm;
+    gmtime_r(&t, &tm);
+    char out[768];
+    int n = snprintf(out, sizeof out, "%02d:%02d:%02d.%03d %s %s %s\n", tm.tm_hour, tm.tm_min,
+                     tm.tm_sec, (int)((wall - (double)t) * 1000), node, names[level], line);
+    /* One write a line, so that threads do not mix theirs. */
+    size_t len = n < (int)sizeof out ? (size_t)n : sizeof out - 1;
+    if (write(STDERR_FILENO, out, len) < 0) {
+        return;
+    }
+}
+
+void rr_log_line(int level, const char *line) {
+    rr_log(level, "%s", line);
+}
--- /dev/null
+++ b/src/app/main.c
@@ -0,0 +1,112 @@
+/* The command line, and the life of the process. */
+#include "app/app.h"
+#include "app/clock.h"
+#include "app/log.h"
+#include "app/settings.h"
+
+#include <errno.h>
+#include <malloc.h>
+#include <semaphore.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct options {
+    char *config, *settings;
+    gboolean version, check;
+};
+
+static sem_t quit;
+
+static void on_signal(int sig) {
+    (void)sig;
+    sem_post(&quit);
+}
+
+static int usage_error(const char *what) {
+    fprintf(stderr, "ringrock: %s (see ringrock --help)\n", what);
+    return 2;
+}
+
+/* 0: go on; 1: done, exit 0; 2: bad use. */
+static int read_options(int *argc, char ***argv, struct options *o) {
+    GOptionEntry entries[] = {
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "The platform's settings (TOML)", "FILE"},
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings,
+         "The operators' own settings; or RINGROCK_SETTINGS in the environment", "FILE"},
+        {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
+        {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
+        {0}};
+    GError *err = NULL;
+    GOptionContext *ctx = g_option_context_new("- a controller of the ringrock cluster scheduler");
+    g_option_context_add_main_entries(ctx, entries, NULL);
+    g_option_context_set_description(
+        ctx, "LOG_LEVEL in the environment is error, info (default) or debug.\n");
+    gboolean ok = g_option_context_parse(ctx, argc, argv, &err);
+    g_option_context_free(ctx);
+    int rc = 0;
+    if (!ok) {
+        rc = usage_error(err->message);
+        g_error_free(err);
+    } else if (o->version) {
+        printf("ringrock %s\n", RINGROCK_VERSION);
+        rc = 1;
+    } else if (*argc > 1) {
+        rc = usage_error("unexpected argument");
+    } else if (!o->config) {
+        rc = usage_error("--config FILE is required");
+    } else if (rr_log_set_level(getenv("LOG_LEVEL")) != 0) {
+        rc = usage_error("LOG_LEVEL must be error, info or debug");
+    }
+    return rc;
+}
+
+static int serve(struct rr_app *app) {
+    struct sigaction sa = {.sa_handler = on_signal}, ignore = {.sa_handler = SIG_IGN};
+    sem_init(&quit, 0, 0);
+    sigaction(SIGTERM, &sa, NULL);
+    sigaction(SIGINT, &sa, NULL);
+    sigaction(SIGPIPE, &ignore, NULL);
+    if (rr_net_init() != 0 || rr_app_start(app) != 0) {
+        return 1;
+    }
+    rr_log(RR_INFO_LEVEL, "ringrock %s in %s, session %.1f s", RINGROCK_VERSION, app->cfg.zone,
+           rr_session_s(&app->cfg));
+    while (sem_wait(&quit) != 0 && errno == EINTR) {
+    }
+    rr_log(RR_INFO_LEVEL, "stopping");
+    rr_app_stop(app);
+    return 0;
+}
+
+int main(int argc, char **argv) {
+    struct options o = {0};
+    char err[512] = "";
+    /* Many threads, little memory: few arenas, and freed pages go back. */
+    mallopt(M_ARENA_MAX, 2);
+    mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
+    int rc = read_options(&argc, &argv, &o);
+    if (rc != 0) {
+        rc = rc == 1 ? 0 : rc;
+        goto end;
+    }
+    struct rr_app *app = g_new0(struct rr_app, 1);
+    if (!o.settings) {
+        o.settings = g_strdup(getenv("RINGROCK_SETTINGS"));
+    }
+    if (rr_settings_load(o.config, o.settings, &app->cfg, err, sizeof err) != 0) {
+        fprintf(stderr, "ringrock: %s\n", err);
+        rc = 2;
+    } else if (o.check) {
+        printf("settings are fine\n");
+    } else {
+        rr_log_node(app->cfg.node_name);
+        rc = serve(app);
+    }
+    g_free(app);
+end:
+    g_free(o.config);
+    g_free(o.settings);
+    return rc;
+}
--- /dev/null
+++ b/src/cloud/cloud.h
@@ -0,0 +1,19 @@
+/* The cloud's interface. One object a thread (the steward's). */
+#ifndef RR_CLOUD_CLOUD_H
+#define RR_CLOUD_CLOUD_H
+
+#include "net/client.h"
+#include "wire/wire.h"
+
+typedef struct rr_cloud rr_cloud;
+rr_cloud *rr_cloud_create(const struct rr_endpoint *to, double rps, const atomic_bool *stop);
+void rr_cloud_destroy(rr_cloud *c);
+/* All return 0 or a negative errno; -EAGAIN: refused for now. */
+int rr_cloud_catalog(rr_cloud *c, GArray *builds /* rr_build */);
+int rr_cloud_list(rr_cloud *c, GArray *stones /* rr_stone */);
+/* *status: 200 (ids filled), 503 no capacity, 0: not known. */
+int rr_cloud_hire(rr_cloud *c, const char *hire, const char *build, const char *ward, bool loaners,
+                  int how_many, int *status, GPtrArray *ids);
+int rr_cloud_release(rr_cloud *c, const GPtrArray *ids);
+
+#endif
--- /dev/null
+++ b/src/core/config.h
@@ -0,0 +1,81 @@
+/* Settings as the core and the shell see them. Plain data, filled once by src/app/settings.c before
+ * any thread starts, and read-only from then on. */
+#ifndef RR_CORE_CONFIG_H
+#define RR_CORE_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define RR_MAX_NODES 32
+#define RR_MAX_TEAMS 256
+#define RR_MAX_OBJECTIVES 64
+#define RR_NAME 128
+
+struct rr_endpoint {
+    char host[64];
+    uint16_t port;
+};
+
+struct rr_peer_config {
+    char name[RR_NAME];
+    char zone[RR_NAME];
+    struct rr_endpoint endpoint;
+};
+
+struct rr_team_config {
+    char name[RR_NAME];
+    double cpus, cpus_max, gpus, gpus_max; /* 0: none */
+};
+
+struct rr_objective {
+    char kind[32];
+    char lane[RR_NAME];
+    double within_s;
+    double share;
+};
+
+/* The operators' own settings (HCL-like file), with defaults and ranges in src/app/settings.c. */
+struct rr_tuning {
+    double round_period_s;    /* pause between re-orchestration rounds */
+    int round_moves;          /* moves a round at most */
+    bool rounds;              /* false: no re-orchestration */
+    double session_share;     /* session time as a share of cancel_s - lease_s */
+    double silent_reports;    /* reports missed before a machine takes no new work */
+    double dead_reports;      /* reports missed before a lone silent machine is given up */
+    double idle_return_s;     /* idle time before a rented machine goes back */
+    double headroom;          /* factor on arrivals expected during a boot */
+    double boot_patience;     /* boots longer than this many startup_s are not counted on */
+    double cloud_list_s;      /* pause between machine lists */
+    int senders;              /* threads that carry commands to workers */
+    int max_connections;      /* HTTP connections at most */
+    double plan_pause_ms;     /* least pause between two plans */
+};
+
+struct rr_config {
+    char node_name[RR_NAME];
+    char zone[RR_NAME];
+    struct rr_endpoint bind, peer_listen, cloud, state;
+    struct rr_peer_config peers[RR_MAX_NODES];
+    size_t npeers;
+    struct rr_team_config teams[RR_MAX_TEAMS];
+    size_t nteams;
+    struct rr_objective objectives[RR_MAX_OBJECTIVES];
+    size_t nobjectives;
+    double clock_off_s;
+    double report_s, lease_s, cancel_s;
+    double state_rps, state_write_rps, value_kb;
+    int txn_ops;
+    double cloud_rps, list_lag_s;
+    double core_share, ram_mb;
+    int max_sockets;
+    struct rr_tuning tune;
+};
+
+/* Session time: a worker served by a controller that hears of no cancellation must still end in
+ * time, so session + lease_s + time to stop stays below cancel_s (checked with the settings). */
+static inline double rr_session_s(const struct rr_config *c) {
+    return c->tune.session_share * (c->cancel_s - c->lease_s);
+}
+
+#endif
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,138 @@
+/* The core: the mirrored state and every decision on it. No I/O, no clock, no thread and no lock:
+ * the shell hands in events and times and carries out what comes back, one call at a time (src/app
+ * holds its lock around each call). Steady times are `now`, times of day `wall`, both in seconds. */
+#ifndef RR_CORE_CORE_H
+#define RR_CORE_CORE_H
+
+#include "core/config.h"
+#include "core/txn.h"
+#include "wire/wire.h"
+
+#define RR_ROOT "rr/"
+
+typedef struct rr_core rr_core;
+
+rr_core *rr_core_create(const struct rr_config *cfg);
+void rr_core_destroy(rr_core *c);
+
+/* Where the core tells what it decided (levelled log lines); set once by the shell. */
+typedef void (*rr_core_log_fn)(int level, const char *line);
+void rr_core_set_log(rr_core *c, rr_core_log_fn fn);
+
+/* ---- the mirror of the state service ---- */
+void rr_core_mirror_begin(rr_core *c); /* a full reread starts: keys not seen again will go */
+void rr_core_mirror_put(rr_core *c, const char *key, const msgpack_object *v, uint64_t mark,
+                        double now);
+void rr_core_mirror_delete(rr_core *c, const char *key, uint64_t mark, double now);
+void rr_core_mirror_end(rr_core *c, double now); /* ends a full reread */
+void rr_core_set_epoch(rr_core *c, uint64_t epoch);
+uint64_t rr_core_epoch(const rr_core *c);
+bool rr_core_loaded(const rr_core *c);
+
+/* ---- sessions and terms ---- */
+/* Our own session: its lease and until when it surely holds. */
+void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until);
+bool rr_core_entitled(const rr_core *c, double now);
+/* Whether our node key stands in the mirror with this lease. */
+bool rr_core_session_seen(const rr_core *c, uint64_t tether);
+void rr_core_node_put(rr_out *o, uint64_t tether);
+/* The transaction that makes the next term if the sessions differ from the present one; false:
+ * nothing to change. */
+bool rr_core_next_term(rr_core *c, double now, double wall, rr_txn *out);
+unsigned rr_core_live(const rr_core *c);
+uint64_t rr_core_token(const rr_core *c);
+bool rr_core_is_steward(const rr_core *c, double now);
+bool rr_core_node_live(const rr_core *c, const char *name);
+
+/* ---- users ---- */
+enum rr_admit { RR_ADMIT_OK, RR_ADMIT_KNOWN, RR_ADMIT_NEVER, RR_ADMIT_UNKNOWN_YET, RR_ADMIT_BUSY };
+enum rr_admit rr_core_admit(const rr_core *c, const rr_submission *s, const char **why);
+typedef struct {
+    bool known, done, aborted;
+    const char *standing;
+    uint32_t ndone, nrunning;
+    uint64_t mark;
+} rr_job_view;
+void rr_core_job_view(const rr_core *c, const char *ref, rr_job_view *out);
+void rr_core_job_key(const char *ref, char *out, size_t size);
+void rr_core_job_encode(rr_out *o, const rr_submission *s, double at, bool cancelled);
+/* The record of a known job, marked cancelled. False if it is unknown or final. */
+bool rr_core_cancel_record(const rr_core *c, const char *ref, rr_out *o, uint64_t *mark);
+bool rr_core_ready(const rr_core *c, double now);
+
+/* ---- workers ---- */
+/* Takes over the report's content. via: index of the peer that heard it, -1: this controller. True
+ * if it was news. */
+bool rr_core_report(rr_core *c, double now, rr_report *r, int via);
+struct rr_answer {
+    int status; /* 200, 421 or 503 */
+    uint64_t warrant;
+    const char *peer; /* with 421, may be NULL */
+    GArray *orders;   /* rr_order, with 200 */
+};
+void rr_core_answer(rr_core *c, double now, const rr_report *r, struct rr_answer *out);
+
+/* ---- planning (team owner) ---- */
+typedef struct {
+    char stone[RR_ID], addr[RR_ID];
+    uint64_t warrant, tenure;
+    GArray *orders; /* rr_order */
+    int via;        /* peer to go through, -1: direct */
+    int fallback;   /* peer to try if nothing could be sent directly, -1: none */
+} rr_do;
+
+typedef struct {
+    bool has_txn;
+    rr_txn txn;
+    GPtrArray *dos; /* rr_do* */
+    double next_s;  /* look again after this long at the latest */
+} rr_plan;
+
+void rr_plan_init(rr_plan *p);
+void rr_plan_clear(rr_plan *p);
+void rr_do_free(rr_do *d);
+void rr_core_plan(rr_core *c, double now, double wall, rr_plan *out);
+enum rr_do_outcome { RR_DO_ANSWERED, RR_DO_NOT_SENT, RR_DO_DOUBT };
+/* After rr_core_report() of the answer's body, if there was one. */
+void rr_core_do_result(rr_core *c, double now, const rr_do *d, enum rr_do_outcome outcome,
+                       bool executed);
+
+/* ---- renting (steward) ---- */
+enum rr_step_kind {
+    RR_STEP_NONE,
+    RR_STEP_CATALOG,
+    RR_STEP_LIST,
+    RR_STEP_TXN,
+    RR_STEP_HIRE,
+    RR_STEP_RELEASE,
+    RR_STEP_PROBE
+};
+typedef struct {
+    enum rr_step_kind kind;
+    rr_txn txn;                                          /* TXN */
+    char hire[RR_ID], build[RR_ID], ward[RR_TEXT];       /* HIRE */
+    bool loaners;
+    int how_many;
+    GPtrArray *stones;                                   /* RELEASE: char* */
+    char stone[RR_ID], addr[RR_ID];                      /* PROBE */
+} rr_step;
+void rr_step_init(rr_step *s);
+void rr_step_clear(rr_step *s);
+void rr_core_steward_step(rr_core *c, double now, double wall, rr_step *out);
+void rr_core_catalog(rr_core *c, double now, const GArray *builds /* rr_build */);
+void rr_core_listed(rr_core *c, double asked_at, double now, double wall,
+                    const GArray *stones /* rr_stone */);
+/* status: 200 with ids, 503 no capacity, else: unknown, try again later. */
+void rr_core_hired(rr_core *c, double now, const rr_step *s, int status, const GPtrArray *ids);
+void rr_core_released(rr_core *c, double now, const GPtrArray *ids);
+/* asked: bit i set if peer i answered that it can't reach the machine either. */
+void rr_core_probe_failed(rr_core *c, double now, const char *stone, uint32_t asked);
+
+/* ---- for logs and tests ---- */
+typedef struct {
+    unsigned machines, booting, jobs_open, tasks_waiting, tasks_placed, moves;
+    double priced;
+} rr_core_stats;
+void rr_core_get_stats(const rr_core *c, rr_core_stats *out);
+
+#endif
--- /dev/null
+++ b/src/core/model.h
@@ -0,0 +1,217 @@
+/* Inside the core only: the model that its files share. */
+#ifndef RR_CORE_MODEL_H
+#define RR_CORE_MODEL_H
+
+#include "core/core.h"
+#include "core/names.h"
+
+#define RR_CHUNK 4096 /* tasks in one record of completions */
+#define RR_EPS 1e-6
+
+typedef struct {
+    double cpu, gpu, mem;
+} rr_res;
+
+typedef struct rr_job rr_job;
+typedef struct rr_machine rr_machine;
+
+/* A placement: the ledger's entry, then what only this process remembers of it. */
+typedef struct {
+    rr_job *job;
+    uint32_t task;
+    uint64_t attempt, tenure;
+    bool evict; /* to be stopped for work of higher rank, or moved away */
+    /* volatile */
+    double seen_at;  /* when the mirror first showed it */
+    double start_at; /* last start sent, 0: none */
+    double stop_at;  /* last stop sent, 0: none */
+    bool hard_stop;  /* the last stop left no time to save */
+} rr_place;
+
+struct rr_job {
+    rr_submission s;
+    int team, lane, cast;
+    rr_res need;
+    uint64_t mark;
+    double at; /* wall, when accepted */
+    bool cancelled, done, open;
+    guint8 *bits;      /* done tasks, one bit each; NULL once final */
+    guint8 *placed;    /* placements a task has in the ledger */
+    uint32_t ndone, nplaced, hint;
+    int zone; /* of completed tasks of a one-zone job, -1 */
+    GArray *failed_on; /* rr_machine ids (int) where a task failed */
+    double hold_until; /* steady; placed no sooner */
+    double first_seen; /* steady */
+    bool keep; /* during a full reread */
+};
+
+struct rr_machine {
+    int id; /* dense, never reused */
+    char name[RR_ID], addr[RR_ID];
+    int build, ward;
+    bool loaners;
+    /* ledger */
+    bool recorded, own, ret;
+    double born; /* wall */
+    uint64_t mark;
+    GArray *places; /* rr_place */
+    rr_res used;
+    bool keep;
+    /* observed */
+    bool heard;
+    rr_report rep; /* newest */
+    double heard_at, direct_at, known_at, direct_bad_until;
+    int via;
+    GArray *casts; /* int: images it has, oldest first */
+    GArray *err_jobs; /* rr_job*: jobs that failed here */
+    double err_at, full_until;
+    GHashTable *lost; /* attempts with an unanswered start under lost_token/lost_tenure */
+    uint64_t lost_token, lost_tenure;
+    bool do_inflight;
+    double do_next;
+    /* steward */
+    bool listed, list_failed, to_adopt, hired, give_up;
+    double listed_at, idle_since, probed_at, condemned_at;
+    bool surplus;
+    int probe_fails;
+    /* scratch of one plan or simulation */
+    rr_res sim;
+    void *edit;
+    bool emptied;
+};
+
+typedef struct {
+    char name[RR_NAME];
+    uint64_t tether;
+} rr_session;
+
+typedef struct {
+    uint64_t token, mark;
+    GArray *nodes; /* rr_session */
+    double born;   /* wall, of the first term */
+} rr_term;
+
+typedef struct {
+    char name[RR_ID], build[RR_ID], ward[RR_TEXT];
+    bool loaners;
+    int how_many;
+    uint64_t mark;
+    bool keep;
+    double tried_at; /* 0: never */
+    bool answered, refused;
+    GPtrArray *ids; /* char*, once answered */
+} rr_hire;
+
+typedef struct {
+    rr_job *job;
+    uint32_t task;
+    rr_machine *from, *to;
+} rr_move;
+
+struct rr_core {
+    const struct rr_config *cfg;
+    rr_core_log_fn log;
+    rr_names teams, wards, builds, lanes, casts;
+    GArray *build_info; /* rr_build, by index; sku empty: not in the catalogue */
+    bool catalog_known;
+    double catalog_at;   /* steady, last read from the cloud by this process */
+    GArray *fresh_builds; /* rr_build read from the cloud, to be recorded */
+    GHashTable *jobs;    /* ref -> rr_job */
+    GPtrArray *open;     /* rr_job*, not final or with placements */
+    GHashTable *machines; /* name -> rr_machine */
+    GPtrArray *machine_list;
+    int next_machine_id;
+    GHashTable *gone;    /* name -> double*: when its record went */
+    GHashTable *sessions; /* node name -> rr_session */
+    GHashTable *hires;   /* name -> rr_hire */
+    GHashTable *refused; /* "build|ward|kind" -> double*: not before */
+    rr_term term;
+    uint64_t epoch;
+    bool loaded, rereading;
+    uint64_t tether;
+    double entitled_until;
+    uint64_t counter; /* for attempts and request names, with the token */
+    /* steward */
+    double steward_since, list_at, sim_at, adopt_at;
+    uint64_t steward_token;
+    bool list_read;
+    GArray *arrivals; /* rr_arrival */
+    GHashTable *stray_failed; /* names listed as failed without a record */
+    /* rounds */
+    GArray *plan_moves; /* rr_move still to make */
+    double round_at, calm_since;
+    int round_left; /* moves left in this round */
+    uint64_t round_token;
+    unsigned moves_made;
+};
+
+void rr_log_at(const rr_core *c, int level, const char *fmt, ...) G_GNUC_PRINTF(3, 4);
+#define RR_LOG_ERROR 0
+#define RR_LOG_INFO 1
+#define RR_LOG_DEBUG 2
+
+/* resources */
+static inline rr_res rr_res_add(rr_res a, rr_res b, double sign) {
+    return (rr_res){a.cpu + sign * b.cpu, a.gpu + sign * b.gpu, a.mem + sign * b.mem};
+}
+static inline bool rr_res_fits(rr_res need, rr_res room) {
+    return need.cpu <= room.cpu + RR_EPS && need.gpu <= room.gpu + RR_EPS &&
+           need.mem <= room.mem + RR_EPS;
+}
+/* Free room on the scarcest resource, as a share of the machine. */
+double rr_res_room(rr_res room, rr_res cap);
+
+/* model.c */
+const rr_build *rr_build_at(const rr_core *c, int build);
+rr_res rr_machine_cap(const rr_core *c, const rr_machine *m);
+double rr_machine_price(const rr_core *c, const rr_machine *m);
+rr_machine *rr_machine_get(rr_core *c, const char *name, double now);
+void rr_machine_forget(rr_core *c, rr_machine *m);
+void rr_machine_key(const char *name, char *out, size_t size);
+void rr_machine_encode(const rr_core *c, rr_out *o, const rr_machine *m, const GArray *places,
+                       bool ret);
+bool rr_job_task_done(const rr_job *j, uint32_t task);
+void rr_job_chunk_encode(rr_out *o, const rr_job *j, uint32_t chunk, const GArray *extra,
+                         const char *zone);
+void rr_result_key(const char *ref, uint32_t chunk, char *out, size_t size);
+rr_place *rr_place_find(const rr_machine *m, uint64_t attempt, const rr_job *j, uint32_t task);
+const rr_piece *rr_piece_find(const rr_machine *m, const rr_place *p);
+bool rr_machine_has_cast(const rr_machine *m, int cast);
+const struct rr_objective *rr_objective_for(const rr_core *c, const char *kind, const char *lane);
+void rr_hire_key(const char *name, char *out, size_t size);
+
+/* term.c */
+bool rr_in_term(const rr_core *c);
+bool rr_owns_team(const rr_core *c, int team);
+const char *rr_owner_of(const rr_core *c, const char *what);
+
+/* troubles.c */
+bool rr_machine_fresh(const rr_core *c, const rr_machine *m, double now);
+bool rr_machine_usable(const rr_core *c, const rr_machine *m, double now);
+bool rr_machine_sick(const rr_machine *m);
+void rr_note_error(rr_core *c, rr_machine *m, rr_job *j, double now);
+bool rr_machine_dead(rr_core *c, rr_machine *m, double now);
+double rr_silent_for(const rr_machine *m, double now);
+
+/* allocation.c */
+bool rr_job_allows(const rr_core *c, const rr_job *j, int build, int ward, bool loaners);
+/* The zones in which one more task of the job may start, given its placements (and, while moving,
+ * not counting `except`): fills allowed[ward]. */
+void rr_job_wards(const rr_core *c, const rr_job *j, bool *allowed, const rr_place *except);
+struct rr_choice {
+    const bool *wards;    /* allowed zones */
+    bool separate;        /* no machine that has a task of this job */
+    const rr_machine *home; /* where it runs now: never refused for its own sake */
+    bool need_cast;       /* only machines that have the image */
+    bool (*filter)(const rr_core *c, const rr_machine *m, double now);
+};
+/* The paper's choice for a task: the fitting machine of least price x free room. room: by m->sim. */
+rr_machine *rr_choose(rr_core *c, const rr_job *j, const struct rr_choice *how, double now);
+int rr_zone_most_room(rr_core *c, const rr_job *j, const bool *wards, double now);
+void rr_sim_reset(rr_core *c);
+bool rr_zone_bound(const rr_job *j);
+
+/* rounds.c */
+void rr_round(rr_core *c, double now);
+
+#endif
--- /dev/null
+++ b/src/core/rounds.c
@@ -0,0 +1,224 @@
+/* Re-orchestration: DESIGN's rounds after the paper's two phases. Allocation takes every movable
+ * replica off its machine on paper and places all of them anew; the plan counts only if it empties a
+ * priced machine, and only the replicas of such machines move. Ordering makes the fitting move of
+ * least request over the destination's free room first and credits the source. */
+#include "core/model.h"
+
+#include <math.h>
+#include <string.h>
+
+struct item {
+    rr_job *job;
+    uint32_t task;
+    rr_machine *home, *to;
+    double size;
+    bool taken;
+};
+
+static bool movable(const rr_core *c, const rr_machine *m, const rr_place *p, double now) {
+    const rr_job *j = p->job;
+    if (j->s.shape != RR_SERVICE || j->cancelled || j->done || p->evict || !j->placed ||
+        p->task >= j->s.pieces || j->placed[p->task] != 1 || j->team < 0 ||
+        !rr_owns_team(c, j->team) || !rr_machine_usable(c, m, now)) {
+        return false;
+    }
+    const rr_piece *r = rr_piece_find(m, p);
+    return r && r->standing == RR_RUNNING;
+}
+
+/* No replica moves while a trouble is on: a recorded machine silent, a notice, or a young term. */
+static bool calm(rr_core *c, double now) {
+    bool quiet = true;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        if (m->recorded && m->heard && (!rr_machine_fresh(c, m, now) || m->rep.recall_s >= 0)) {
+            quiet = false;
+        }
+    }
+    if (c->round_token != c->term.token) {
+        c->round_token = c->term.token;
+        quiet = false;
+    }
+    if (!quiet) {
+        c->calm_since = now;
+    }
+    return now - c->calm_since >= 3 * c->cfg->report_s;
+}
+
+static double size_of(const rr_core *c, const rr_machine *m, const rr_job *j) {
+    return 1 - rr_res_room(rr_res_add(rr_machine_cap(c, m), j->need, -1), rr_machine_cap(c, m));
+}
+
+static gint by_group_and_size(gconstpointer a, gconstpointer b) {
+    const struct item *x = a, *y = b;
+    bool gx = rr_zone_bound(x->job), gy = rr_zone_bound(y->job);
+    if (gx != gy) {
+        return gx ? -1 : 1;
+    }
+    if (gx && x->job != y->job) {
+        return strcmp(x->job->s.ref, y->job->s.ref);
+    }
+    return x->size > y->size ? -1 : x->size < y->size;
+}
+
+static GArray *collect(rr_core *c, double now) {
+    GArray *items = g_array_new(FALSE, TRUE, sizeof(struct item));
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        for (guint k = 0; k < m->places->len; k++) {
+            const rr_place *p = &g_array_index(m->places, rr_place, k);
+            if (movable(c, m, p, now)) {
+                struct item it = {p->job, p->task, m, NULL, size_of(c, m, p->job), false};
+                g_array_append_val(items, it);
+            }
+        }
+    }
+    g_array_sort(items, by_group_and_size);
+    return items;
+}
+
+static bool job_planned_on(const GArray *items, guint upto, const rr_job *j, const rr_machine *m) {
+    for (guint i = 0; i < upto; i++) {
+        const struct item *it = &g_array_index(items, struct item, i);
+        if (it->job == j && it->to == m) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A job of several replicas keeps its zones; a single one may go wherever its job allows. */
+static void allowed_wards(rr_core *c, const struct item *it, bool *wards, double now) {
+    rr_job *j = it->job;
+    guint n = c->wards.names->len;
+    bool fixed = j->s.pieces > 1 && (j->s.apart || j->s.one_zone);
+    for (guint w = 0; w < n; w++) {
+        wards[w] = fixed ? (int)w == it->home->ward
+                         : !j->s.ward[0] ||
+                               strcmp(j->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
+    }
+    if (!fixed && rr_zone_bound(j)) {
+        int z = rr_zone_most_room(c, j, wards, now);
+        for (guint w = 0; w < n; w++) {
+            wards[w] = (int)w == z;
+        }
+    }
+}
+
+static void allocate(rr_core *c, GArray *items, double now) {
+    rr_sim_reset(c);
+    for (guint i = 0; i < items->len; i++) {
+        struct item *it = &g_array_index(items, struct item, i);
+        it->home->sim = rr_res_add(it->home->sim, it->job->need, 1);
+    }
+    for (guint i = 0; i < items->len; i++) {
+        struct item *it = &g_array_index(items, struct item, i);
+        bool wards[c->wards.names->len + 1];
+        allowed_wards(c, it, wards, now);
+        /* An image still to be fetched would keep the replica down for the fetch. */
+        struct rr_choice how = {.wards = wards,
+                                .separate = it->job->s.pieces > 1,
+                                .home = it->home,
+                                .need_cast = true,
+                                .filter = rr_machine_usable};
+        rr_machine *to = rr_choose(c, it->job, &how, now);
+        if (!to || (to != it->home && job_planned_on(items, i, it->job, to))) {
+            to = it->home;
+        }
+        it->to = to;
+        to->sim = rr_res_add(to->sim, it->job->need, -1);
+    }
+}
+
+/* Priced machines that the plan leaves empty. */
+static guint mark_emptied(rr_core *c, const GArray *items) {
+    guint n = 0;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        guint leaving = 0, arriving = 0;
+        for (guint k = 0; k < items->len; k++) {
+            const struct item *it = &g_array_index(items, struct item, k);
+            leaving += it->home == m && it->to != m;
+            arriving += it->home != m && it->to == m;
+        }
+        m->emptied = m->recorded && !m->ret && rr_machine_price(c, m) > 0 && m->places->len > 0 &&
+                     leaving == m->places->len && arriving == 0;
+        n += m->emptied;
+    }
+    return n;
+}
+
+/* The fitting move of least request over free room at its destination, or NULL. */
+static struct item *next_move(rr_core *c, GArray *items) {
+    struct item *best = NULL;
+    double least = 0;
+    for (guint i = 0; i < items->len; i++) {
+        struct item *it = &g_array_index(items, struct item, i);
+        if (it->taken || !it->home->emptied || it->to == it->home || it->to->emptied ||
+            !rr_res_fits(it->job->need, it->to->sim)) {
+            continue;
+        }
+        double room = rr_res_room(it->to->sim, rr_machine_cap(c, it->to));
+        double score = room > 0 ? it->size / room : INFINITY;
+        if (!best || score < least) {
+            best = it;
+            least = score;
+        }
+    }
+    return best;
+}
+
+static void order_moves(rr_core *c, GArray *items) {
+    GArray *moves = g_array_new(FALSE, FALSE, sizeof(rr_move));
+    rr_sim_reset(c);
+    struct item *it;
+    while ((it = next_move(c, items))) {
+        rr_move mv = {it->job, it->task, it->home, it->to};
+        g_array_append_val(moves, mv);
+        it->taken = true;
+        it->to->sim = rr_res_add(it->to->sim, it->job->need, -1);
+        it->home->sim = rr_res_add(it->home->sim, it->job->need, 1);
+    }
+    /* A machine that can't be emptied whole is left alone: half-made plans only cost. */
+    for (guint i = 0; i < moves->len; i++) {
+        rr_move *mv = &g_array_index(moves, rr_move, i);
+        guint n = 0;
+        for (guint k = 0; k < moves->len; k++) {
+            n += g_array_index(moves, rr_move, k).from == mv->from;
+        }
+        if (n == mv->from->places->len) {
+            g_array_append_val(c->plan_moves, *mv);
+        }
+    }
+    g_array_free(moves, TRUE);
+}
+
+void rr_round(rr_core *c, double now) {
+    const struct rr_tuning *t = &c->cfg->tune;
+    bool ok = calm(c, now);
+    if (!ok) {
+        g_array_set_size(c->plan_moves, 0);
+    }
+    if (!t->rounds || !ok || now - c->round_at < t->round_period_s) {
+        return;
+    }
+    c->round_at = now;
+    c->round_left = t->round_moves;
+    if (c->plan_moves->len > 0) {
+        return; /* the plan is kept until it is done */
+    }
+    GArray *items = collect(c, now);
+    if (items->len > 0) {
+        allocate(c, items, now);
+        guint n = mark_emptied(c, items);
+        if (n > 0) {
+            order_moves(c, items);
+        }
+        if (c->plan_moves->len > 0) {
+            rr_log_at(c, RR_LOG_INFO, "round: %u movable replicas, %u machines to empty, %u moves",
+                      items->len, n, c->plan_moves->len);
+        }
+    }
+    g_array_free(items, TRUE);
+    rr_sim_reset(c);
+}
--- /dev/null
+++ b/src/core/steward.c
@@ -0,0 +1,674 @@
+/* The steward: rents for waiting work and headroom, returns what is idle, dead or sick, keeps the
+ * machine records in step with the cloud. One step at a time; the shell carries it out and reports. */
+#include "core/model.h"
+
+#include <math.h>
+#include <string.h>
+
+#define CATALOG_S 60.0
+#define HIRE_RETRY_S 5.0
+#define REFUSED_S 15.0
+#define ARRIVAL_WINDOW_S 240.0
+#define GONE_KEEP_S 600.0
+#define HIRE_MAX 20
+
+void rr_step_init(rr_step *s) {
+    memset(s, 0, sizeof *s);
+    rr_txn_init(&s->txn);
+    s->stones = g_ptr_array_new_with_free_func(g_free);
+}
+
+void rr_step_clear(rr_step *s) {
+    rr_txn_clear(&s->txn);
+    g_ptr_array_free(s->stones, TRUE);
+}
+
+/* ---- what the cloud said ---- */
+
+void rr_core_catalog(rr_core *c, double now, const GArray *builds) {
+    c->catalog_at = now;
+    g_array_set_size(c->fresh_builds, 0);
+    for (guint i = 0; i < builds->len; i++) {
+        const rr_build *b = &g_array_index(builds, rr_build, i);
+        rr_build copy = *b;
+        copy.wards = g_ptr_array_new_with_free_func(g_free);
+        for (guint k = 0; k < b->wards->len; k++) {
+            g_ptr_array_add(copy.wards, g_strdup(g_ptr_array_index(b->wards, k)));
+        }
+        g_array_append_val(c->fresh_builds, copy);
+    }
+}
+
+static bool recently_gone(const rr_core *c, const char *name, double now) {
+    const double *at = g_hash_table_lookup(c->gone, name);
+    /* Lists lag up to twice their usual lag and a dead machine stays listed for half a minute. */
+    return at && now - *at < 3 * c->cfg->list_lag_s + 40;
+}
+
+static void see_listed(rr_core *c, const rr_stone *s, double asked_at, double now, double wall) {
+    rr_machine *m = g_hash_table_lookup(c->machines, s->id);
+    if (!m || !m->recorded) {
+        if (s->state == RR_STONE_FAILED) {
+            g_hash_table_add(c->stray_failed, g_strdup(s->id));
+            return;
+        }
+        if (recently_gone(c, s->id, now)) {
+            return;
+        }
+        m = rr_machine_get(c, s->id, now);
+        m->to_adopt = true;
+        m->born = wall - s->age_s;
+        /* Up before the service's first term: the operators' own machines, not rented by us. */
+        m->own = !m->hired && m->born < c->term.born - 5;
+    }
+    if (m->build < 0) {
+        m->build = rr_names_add(&c->builds, s->build);
+        m->ward = rr_names_add(&c->wards, s->ward);
+        m->loaners = s->loaners;
+    }
+    if (!m->addr[0]) {
+        g_strlcpy(m->addr, s->addr, sizeof m->addr);
+    }
+    if (!m->listed) {
+        m->listed = true;
+        m->listed_at = asked_at;
+    }
+    m->list_failed = s->state == RR_STONE_FAILED;
+}
+
+/* Missing from a list taken more than twice the lag after it was first listed (three times, if it
+ * never was): gone. A machine listed once stays listed until it is gone. */
+static bool missing_is_gone(const rr_core *c, const rr_machine *m, double asked_at) {
+    double lag = c->cfg->list_lag_s;
+    return m->listed ? asked_at > m->listed_at + 2 * lag + 1
+                     : asked_at > fmax(m->known_at, c->steward_since) + 3 * lag + 10;
+}
+
+void rr_core_listed(rr_core *c, double asked_at, double now, double wall, const GArray *stones) {
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+    c->list_at = now;
+    c->list_read = true;
+    g_hash_table_remove_all(c->stray_failed);
+    for (guint i = 0; i < stones->len; i++) {
+        const rr_stone *s = &g_array_index(stones, rr_stone, i);
+        g_hash_table_add(seen, (gpointer)s->id);
+        see_listed(c, s, asked_at, now, wall);
+    }
+    for (guint i = c->machine_list->len; i > 0; i--) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i - 1);
+        if (g_hash_table_contains(seen, m->name)) {
+            continue;
+        }
+        m->to_adopt = m->to_adopt && m->hired;
+        if (m->recorded && missing_is_gone(c, m, asked_at)) {
+            m->list_failed = true;
+        }
+    }
+    g_hash_table_destroy(seen);
+}
+
+static char *refusal_key(const char *build, const char *ward, bool loaners) {
+    return g_strdup_printf("%s|%s|%d", build, ward, loaners);
+}
+
+void rr_core_hired(rr_core *c, double now, const rr_step *s, int status, const GPtrArray *ids) {
+    rr_hire *h = g_hash_table_lookup(c->hires, s->hire);
+    if (!h) {
+        return;
+    }
+    if (status == 503) {
+        double *until = g_new(double, 1);
+        *until = now + REFUSED_S;
+        h->refused = true;
+        g_hash_table_replace(c->refused, refusal_key(s->build, s->ward, s->loaners), until);
+        rr_log_at(c, RR_LOG_INFO, "hire %s: no capacity for %s %s in %s", s->hire, s->build,
+                  s->loaners ? "spot" : "ordinary", s->ward);
+        return;
+    }
+    if (status != 200) {
+        return;
+    }
+    if ((int)ids->len < h->how_many) {
+        double *until = g_new(double, 1);
+        *until = now + REFUSED_S;
+        g_hash_table_replace(c->refused, refusal_key(s->build, s->ward, s->loaners), until);
+    }
+    h->answered = true;
+    for (guint i = 0; i < ids->len; i++) {
+        const char *id = g_ptr_array_index(ids, i);
+        g_ptr_array_add(h->ids, g_strdup(id));
+        if (recently_gone(c, id, now)) {
+            continue;
+        }
+        rr_machine *m = rr_machine_get(c, id, now);
+        m->hired = true;
+        m->own = false;
+        if (!m->recorded) {
+            m->to_adopt = true;
+            m->born = m->born > 0 ? m->born : c->adopt_at;
+            m->build = rr_names_add(&c->builds, s->build);
+            m->ward = rr_names_add(&c->wards, s->ward);
+            m->loaners = s->loaners;
+        }
+    }
+    rr_log_at(c, RR_LOG_INFO, "hire %s: %u of %d %s %s in %s", s->hire, ids->len, h->how_many,
+              s->build, s->loaners ? "spot" : "ordinary", s->ward);
+}
+
+void rr_core_released(rr_core *c, double now, const GPtrArray *ids) {
+    for (guint i = 0; i < ids->len; i++) {
+        const char *id = g_ptr_array_index(ids, i);
+        rr_machine *m = g_hash_table_lookup(c->machines, id);
+        g_hash_table_remove(c->stray_failed, id);
+        if (m && m->recorded) {
+            m->list_failed = true; /* gone with everything on it: the record may go */
+            rr_log_at(c, RR_LOG_INFO, "machine %s is returned after %.0f s", id, now - m->known_at);
+        } else if (m) {
+            rr_machine_forget(c, m);
+        }
+    }
+}
+
+void rr_core_probe_failed(rr_core *c, double now, const char *stone, uint32_t asked) {
+    rr_machine *m = g_hash_table_lookup(c->machines, stone);
+    (void)asked;
+    if (m) {
+        m->probe_fails++;
+        m->probed_at = now;
+    }
+}
+
+/* ---- bookkeeping steps ---- */
+
+static bool step_records(rr_core *c, double now, double wall, rr_step *out) {
+    rr_txn *t = &out->txn;
+    char key[RR_ID + 32];
+    int room = c->cfg->txn_ops < 16 ? c->cfg->txn_ops : 16;
+    for (guint i = 0; i < c->machine_list->len && (int)t->changes->len < room; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        rr_out o;
+        rr_machine_key(m->name, key, sizeof key);
+        if (m->recorded && m->list_failed) {
+            rr_txn_guard(t, key, m->mark);
+            rr_txn_delete(t, key);
+            rr_log_at(c, RR_LOG_INFO, "machine %s is gone, %u tasks to place anew", m->name,
+                      m->places->len);
+        } else if (m->recorded && m->give_up && !m->ret) {
+            rr_out_init(&o);
+            rr_machine_encode(c, &o, m, m->places, true);
+            rr_txn_guard(t, key, m->mark);
+            rr_txn_put(t, key, &o, 0);
+        } else if (!m->recorded && m->build >= 0 &&
+                   (m->to_adopt ||
+                    (m->heard && c->list_read && now - m->heard_at < 2 * c->cfg->report_s &&
+                     !recently_gone(c, m->name, now)))) {
+            m->born = m->born > 0 ? m->born : wall;
+            rr_out_init(&o);
+            rr_machine_encode(c, &o, m, NULL, false);
+            rr_txn_guard(t, key, 0);
+            rr_txn_put(t, key, &o, 0);
+            rr_log_at(c, RR_LOG_DEBUG, "record %s (%s)", m->name, m->own ? "standing" : "rented");
+        }
+    }
+    return t->changes->len > 0;
+}
+
+/* An intent goes once all its machines are recorded or it was refused. */
+static bool step_hires_done(rr_core *c, double now, rr_step *out) {
+    GHashTableIter it;
+    gpointer v;
+    char key[RR_ID + 32];
+    g_hash_table_iter_init(&it, c->hires);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        rr_hire *h = v;
+        bool over = h->refused;
+        if (h->answered) {
+            over = true;
+            for (guint i = 0; i < h->ids->len; i++) {
+                const char *id = g_ptr_array_index(h->ids, i);
+                const rr_machine *m = g_hash_table_lookup(c->machines, id);
+                over = over && ((m && m->recorded) || recently_gone(c, id, now));
+            }
+        }
+        if (over && out->txn.changes->len < 4) {
+            rr_hire_key(h->name, key, sizeof key);
+            rr_txn_guard(&out->txn, key, h->mark);
+            rr_txn_delete(&out->txn, key);
+        }
+    }
+    return out->txn.changes->len > 0;
+}
+
+static bool step_catalog(rr_core *c, double now, rr_step *out) {
+    if (c->fresh_builds->len > 0) {
+        for (guint i = 0; i < c->fresh_builds->len && (int)i < c->cfg->txn_ops; i++) {
+            const rr_build *b = &g_array_index(c->fresh_builds, rr_build, i);
+            char key[RR_ID + 32];
+            rr_out o;
+            rr_out_init(&o);
+            rr_build_encode(&o, b);
+            g_snprintf(key, sizeof key, RR_ROOT "build/%s", b->sku);
+            rr_txn_put(&out->txn, key, &o, 0);
+        }
+        guint n = MIN(c->fresh_builds->len, (guint)c->cfg->txn_ops);
+        g_array_remove_range(c->fresh_builds, 0, n);
+        out->kind = RR_STEP_TXN;
+        return true;
+    }
+    if (c->catalog_at == 0 || now - c->catalog_at > CATALOG_S) {
+        c->catalog_at = now - CATALOG_S + 2; /* not again at once if it fails */
+        out->kind = RR_STEP_CATALOG;
+        return true;
+    }
+    return false;
+}
+
+static bool step_release(rr_core *c, rr_step *out) {
+    GHashTableIter it;
+    gpointer k;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        if (m->recorded && m->ret && !m->list_failed && out->stones->len < 50) {
+            g_ptr_array_add(out->stones, g_strdup(m->name));
+        }
+    }
+    g_hash_table_iter_init(&it, c->stray_failed);
+    while (g_hash_table_iter_next(&it, &k, NULL) && out->stones->len < 100) {
+        g_ptr_array_add(out->stones, g_strdup(k));
+    }
+    return out->stones->len > 0;
+}
+
+static bool step_hire(rr_core *c, double now, double wall, rr_step *out) {
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->hires);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        rr_hire *h = v;
+        if (h->answered || h->refused || (h->tried_at > 0 && now - h->tried_at < HIRE_RETRY_S)) {
+            continue;
+        }
+        h->tried_at = now;
+        c->adopt_at = wall;
+        g_strlcpy(out->hire, h->name, sizeof out->hire);
+        g_strlcpy(out->build, h->build, sizeof out->build);
+        g_strlcpy(out->ward, h->ward, sizeof out->ward);
+        out->loaners = h->loaners;
+        out->how_many = h->how_many;
+        return true;
+    }
+    return false;
+}
+
+/* ---- troubles ---- */
+
+static void judge(rr_core *c, rr_machine *m, double now, double wall) {
+    const rr_build *b = rr_build_at(c, m->build);
+    double boot = b && b->startup_s > 0 ? b->startup_s : 60;
+    const char *why = NULL;
+    if (m->give_up && !m->ret && m->places->len > 0 && rr_machine_fresh(c, m, now)) {
+        m->give_up = false; /* it speaks again and has work */
+    }
+    if (!m->recorded || m->ret || m->give_up) {
+        return;
+    }
+    if (rr_machine_dead(c, m, now)) {
+        why = "dead or hung";
+    } else if (!m->heard && wall - m->born > 4 * boot + 30 && m->places->len == 0 &&
+               now - c->steward_since > 2 * boot) {
+        why = "never came up";
+    } else if (rr_machine_sick(m) && m->places->len == 0) {
+        why = "sick: tasks of several jobs failed";
+    } else if (m->surplus && m->places->len == 0 && !m->own &&
+               now - m->idle_since > c->cfg->tune.idle_return_s && wall - m->born > 60) {
+        why = "idle";
+    }
+    if (why) {
+        m->give_up = true;
+        rr_log_at(c, RR_LOG_INFO, "give up %s (%u tasks): %s", m->name, m->places->len, why);
+    }
+}
+
+static bool step_probe(rr_core *c, double now, rr_step *out) {
+    double limit = c->cfg->tune.dead_reports * c->cfg->report_s;
+    rr_machine *best = NULL;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        if (m->recorded && m->heard && !m->ret && rr_silent_for(m, now) > limit - 3 &&
+            now - m->probed_at > 1.5 && (!best || m->probed_at < best->probed_at)) {
+            best = m;
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    best->probed_at = now;
+    g_strlcpy(out->stone, best->name, sizeof out->stone);
+    g_strlcpy(out->addr, best->addr, sizeof out->addr);
+    return true;
+}
+
+/* ---- demand ---- */
+
+struct rent {
+    int build, ward;
+    bool loaners;
+    int count;
+    rr_res room; /* of the newest */
+};
+
+static bool is_refused(rr_core *c, const char *build, const char *ward, bool loaners, double now) {
+    char *key = refusal_key(build, ward, loaners);
+    const double *until = g_hash_table_lookup(c->refused, key);
+    g_free(key);
+    return until && now < *until;
+}
+
+/* A machine that new work can count on: usable now, or booting within patience. */
+static bool counts(const rr_core *c, const rr_machine *m, double now) {
+    const rr_build *b = rr_build_at(c, m->build);
+    if (!m->recorded || m->ret || m->give_up || !b) {
+        return false;
+    }
+    if (!m->heard) {
+        return now - m->known_at < c->cfg->tune.boot_patience * b->startup_s + 5;
+    }
+    return rr_machine_usable(c, m, now) || (rr_machine_fresh(c, m, now) && m->rep.recall_s < 0 &&
+                                            !rr_machine_sick(m));
+}
+
+static int machines_in(const rr_core *c, int ward, const GArray *rents) {
+    int n = 0;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        n += m->recorded && m->ward == ward;
+    }
+    for (guint i = 0; i < rents->len; i++) {
+        const struct rent *r = &g_array_index(rents, struct rent, i);
+        n += r->ward == ward ? r->count : 0;
+    }
+    return n;
+}
+
+/* The cheapest place that would take the task, per task that fits; between equals the zone with
+ * fewest machines. */
+static struct rent *rent_for(rr_core *c, const rr_job *j, const bool *wards, GArray *rents,
+                             double now) {
+    struct rent best = {-1, -1, false, 0, {0, 0, 0}};
+    double least = 0;
+    int fewest = 0;
+    for (guint bi = 0; bi < c->build_info->len; bi++) {
+        const rr_build *b = rr_build_at(c, (int)bi);
+        rr_res cap = b ? (rr_res){b->vcpus, b->cards, b->mem_gb} : (rr_res){0, 0, 0};
+        if (!b || !rr_res_fits(j->need, cap)) {
+            continue;
+        }
+        double share = 1 - rr_res_room(rr_res_add(cap, j->need, -1), cap);
+        for (guint wi = 0; wi < b->wards->len; wi++) {
+            int w = rr_names_find(&c->wards, g_ptr_array_index(b->wards, wi));
+            for (int spot = 0; spot < 2 && w >= 0 && wards[w]; spot++) {
+                if (!rr_job_allows(c, j, (int)bi, w, spot) ||
+                    is_refused(c, b->sku, rr_names_at(&c->wards, w), spot, now)) {
+                    continue;
+                }
+                double price = (spot ? b->spot_price : b->price) * share;
+                int n = machines_in(c, w, rents);
+                if (best.build < 0 || price < least - 1e-9 ||
+                    (price < least + 1e-9 && n < fewest)) {
+                    best = (struct rent){(int)bi, w, spot, 0, cap};
+                    least = price;
+                    fewest = n;
+                }
+            }
+        }
+    }
+    if (best.build < 0) {
+        return NULL;
+    }
+    for (guint i = 0; i < rents->len; i++) {
+        struct rent *r = &g_array_index(rents, struct rent, i);
+        if (r->build == best.build && r->ward == best.ward && r->loaners == best.loaners) {
+            r->count++;
+            r->room = best.room;
+            return r;
+        }
+    }
+    best.count = 1;
+    g_array_append_val(rents, best);
+    return &g_array_index(rents, struct rent, rents->len - 1);
+}
+
+static bool into_rents(rr_core *c, const rr_job *j, const bool *wards, GArray *rents) {
+    for (guint i = 0; i < rents->len; i++) {
+        struct rent *r = &g_array_index(rents, struct rent, i);
+        if (wards[r->ward] && rr_job_allows(c, j, r->build, r->ward, r->loaners) &&
+            rr_res_fits(j->need, r->room)) {
+            r->room = rr_res_add(r->room, j->need, -1);
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool counts_filter(const rr_core *c, const rr_machine *m, double now) {
+    return counts(c, m, now);
+}
+
+/* Finds room for one more task: on machines there are, or on machines to rent. */
+static void demand_one(rr_core *c, const rr_job *j, const bool *wards, GArray *rents, double now,
+                       bool may_rent) {
+    struct rr_choice how = {.wards = wards, .filter = counts_filter};
+    rr_machine *m = rr_choose(c, j, &how, now);
+    if (m) {
+        m->sim = rr_res_add(m->sim, j->need, -1);
+        m->surplus = false;
+        return;
+    }
+    if (!may_rent || into_rents(c, j, wards, rents)) {
+        return;
+    }
+    struct rent *r = rent_for(c, j, wards, rents, now);
+    if (r) {
+        r->room = rr_res_add(r->room, j->need, -1);
+    }
+}
+
+/* Deadline work waits for room to come free while it can still make it on a new machine. */
+static bool must_rent(const rr_core *c, const rr_job *j, double wall) {
+    if (j->s.due_s < 0) {
+        return true;
+    }
+    double boot = 0, pull = 0;
+    for (guint i = 0; i < c->build_info->len; i++) {
+        const rr_build *b = rr_build_at(c, (int)i);
+        if (b) {
+            boot = fmax(boot, b->startup_s);
+            pull = fmax(pull, b->pull_rate > 0 ? j->s.pull_gb / b->pull_rate : 0);
+        }
+    }
+    double slack = j->at + j->s.due_s - wall - 1.3 * j->s.guess_s - 1.3 * boot - pull;
+    return slack < 15;
+}
+
+static void demand_waiting(rr_core *c, GArray *rents, double now, double wall) {
+    int left = 2000;
+    for (guint i = 0; i < c->open->len && left > 0; i++) {
+        const rr_job *j = g_ptr_array_index(c->open, i);
+        if (!j->mark || j->cancelled || j->done || j->team < 0 ||
+            (size_t)j->team >= c->cfg->nteams) {
+            continue;
+        }
+        const struct rr_team_config *t = &c->cfg->teams[j->team];
+        uint32_t n = j->s.pieces - j->ndone - j->nplaced;
+        bool wards[c->wards.names->len + 1];
+        if (n == 0) {
+            continue;
+        }
+        rr_job_wards(c, j, wards, NULL);
+        /* No more than the team's limit lets run at a time. */
+        if (t->cpus_max > 0 && j->need.cpu > 0) {
+            n = MIN(n, (uint32_t)(t->cpus_max / j->need.cpu + 1));
+        }
+        if (t->gpus_max > 0 && j->need.gpu > 0) {
+            n = MIN(n, (uint32_t)(t->gpus_max / j->need.gpu + 1));
+        }
+        bool rent = must_rent(c, j, wall);
+        for (uint32_t k = 0; k < n && left > 0; k++, left--) {
+            demand_one(c, j, wards, rents, now, rent);
+        }
+    }
+}
+
+/* Room kept for a class with an aim on its start: what arrives while a machine boots. */
+static void demand_headroom(rr_core *c, GArray *rents, double now, double wall) {
+    while (c->arrivals->len > 0 &&
+           wall - g_array_index(c->arrivals, rr_job *, 0)->at > ARRIVAL_WINDOW_S) {
+        g_array_remove_index(c->arrivals, 0);
+    }
+    double span = fmin(ARRIVAL_WINDOW_S, fmax(60, wall - c->term.born));
+    for (size_t i = 0; i < c->cfg->nobjectives; i++) {
+        const struct rr_objective *o = &c->cfg->objectives[i];
+        const rr_job *last = NULL;
+        double tasks = 0, boot = 0;
+        if (strcmp(o->kind, "wait") != 0) {
+            continue;
+        }
+        for (guint k = 0; k < c->arrivals->len; k++) {
+            const rr_job *j = g_array_index(c->arrivals, rr_job *, k);
+            /* What came at the very start was a stock, not a rate. */
+            if (strcmp(j->s.lane, o->lane) == 0) {
+                last = j;
+                tasks += j->at > c->term.born + 20 ? j->s.pieces : 0;
+            }
+        }
+        for (guint b = 0; b < c->build_info->len; b++) {
+            const rr_build *bb = rr_build_at(c, (int)b);
+            boot = bb ? fmax(boot, bb->startup_s) : boot;
+        }
+        if (!last) {
+            continue;
+        }
+        double mean = tasks / span * (1.2 * boot + 10);
+        int n = (int)ceil(c->cfg->tune.headroom * (mean + sqrt(mean)));
+        bool wards[c->wards.names->len + 1];
+        for (guint w = 0; w < c->wards.names->len; w++) {
+            wards[w] = !last->s.ward[0] || strcmp(last->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
+        }
+        for (int k = 0; k < n && k < 50; k++) {
+            demand_one(c, last, wards, rents, now, true);
+        }
+    }
+}
+
+static bool hire_pending(const rr_core *c, const struct rent *r) {
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->hires);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const rr_hire *h = v;
+        if (strcmp(h->build, rr_names_at(&c->builds, r->build)) == 0 &&
+            strcmp(h->ward, rr_names_at(&c->wards, r->ward)) == 0 && h->loaners == r->loaners) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Intents for what is to be rented. A request's name is never used again: token, counter. */
+static void put_intents(rr_core *c, const GArray *rents, rr_step *out) {
+    for (guint i = 0; i < rents->len && (int)i < c->cfg->txn_ops; i++) {
+        const struct rent *r = &g_array_index(rents, struct rent, i);
+        char name[RR_ID], key[RR_ID + 32];
+        if (hire_pending(c, r)) {
+            continue;
+        }
+        rr_out o;
+        g_snprintf(name, sizeof name, "rr-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                   c->term.token, ++c->counter);
+        rr_hire_key(name, key, sizeof key);
+        rr_out_init(&o);
+        rr_put_map(&o, 4);
+        rr_put_key_text(&o, "build", rr_names_at(&c->builds, r->build));
+        rr_put_key_text(&o, "ward", rr_names_at(&c->wards, r->ward));
+        rr_put_key_bool(&o, "loaners", r->loaners);
+        rr_put_key_u64(&o, "n", (uint64_t)MIN(r->count, HIRE_MAX));
+        rr_txn_guard(&out->txn, key, 0);
+        rr_txn_put(&out->txn, key, &o, 0);
+    }
+}
+
+static bool step_rent(rr_core *c, double now, double wall, rr_step *out) {
+    if (now - c->sim_at < 1 || !c->list_read || !c->catalog_known) {
+        return false;
+    }
+    c->sim_at = now;
+    GArray *rents = g_array_new(FALSE, FALSE, sizeof(struct rent));
+    rr_sim_reset(c);
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        ((rr_machine *)g_ptr_array_index(c->machine_list, i))->surplus = true;
+    }
+    demand_waiting(c, rents, now, wall);
+    demand_headroom(c, rents, now, wall);
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        judge(c, g_ptr_array_index(c->machine_list, i), now, wall);
+    }
+    put_intents(c, rents, out);
+    g_array_free(rents, TRUE);
+    return out->txn.changes->len > 0;
+}
+
+static gboolean gone_old(gpointer k, gpointer v, gpointer user) {
+    (void)k;
+    return *(double *)user - *(double *)v > GONE_KEEP_S;
+}
+
+static void begin_stewardship(rr_core *c, double now) {
+    c->steward_token = c->term.token;
+    c->steward_since = now;
+    c->list_at = c->sim_at = 0;
+    c->list_read = false;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        m->give_up = m->list_failed = m->listed = m->surplus = false;
+        m->probe_fails = 0;
+    }
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->hires);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        rr_hire *h = v;
+        h->answered = h->refused = false;
+        h->tried_at = 0;
+        g_ptr_array_set_size(h->ids, 0);
+    }
+    rr_log_at(c, RR_LOG_INFO, "steward of term %" G_GUINT64_FORMAT, c->term.token);
+}
+
+void rr_core_steward_step(rr_core *c, double now, double wall, rr_step *out) {
+    out->kind = RR_STEP_NONE;
+    if (!rr_core_is_steward(c, now)) {
+        return;
+    }
+    if (c->steward_token != c->term.token) {
+        begin_stewardship(c, now);
+    }
+    g_hash_table_foreach_remove(c->gone, gone_old, &now);
+    if (step_records(c, now, wall, out) || step_hires_done(c, now, out) ||
+        step_catalog(c, now, out) || step_rent(c, now, wall, out)) {
+        if (out->kind == RR_STEP_NONE) {
+            out->kind = RR_STEP_TXN;
+        }
+    } else if (step_hire(c, now, wall, out)) {
+        out->kind = RR_STEP_HIRE;
+    } else if (step_release(c, out)) {
+        out->kind = RR_STEP_RELEASE;
+    } else if (c->list_at == 0 || now - c->list_at > c->cfg->tune.cloud_list_s) {
+        c->list_at = now;
+        out->kind = RR_STEP_LIST;
+    } else if (step_probe(c, now, out)) {
+        out->kind = RR_STEP_PROBE;
+    }
+    if (out->kind == RR_STEP_TXN) {
+        rr_txn_guard(&out->txn, RR_ROOT "term", c->term.mark);
+    }
+}
--- /dev/null
+++ b/src/core/term.c
@@ -0,0 +1,145 @@
+/* Sessions, terms and the parting of teams. */
+#include "core/model.h"
+
+#include <string.h>
+
+void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until) {
+    c->tether = tether;
+    c->entitled_until = entitled_until;
+}
+
+bool rr_core_session_seen(const rr_core *c, uint64_t tether) {
+    const rr_session *s = g_hash_table_lookup(c->sessions, c->cfg->node_name);
+    return s && s->tether == tether;
+}
+
+void rr_core_node_put(rr_out *o, uint64_t tether) {
+    rr_put_map(o, 1);
+    rr_put_key_u64(o, "tether", tether);
+}
+
+static const rr_session *term_node(const rr_core *c, const char *name) {
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        const rr_session *s = &g_array_index(c->term.nodes, rr_session, i);
+        if (strcmp(s->name, name) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+bool rr_in_term(const rr_core *c) {
+    const rr_session *s = term_node(c, c->cfg->node_name);
+    return c->loaded && c->tether && s && s->tether == c->tether;
+}
+
+/* Only an incarnation that the term names and whose lease surely lasts may command. */
+bool rr_core_entitled(const rr_core *c, double now) {
+    return rr_in_term(c) && now < c->entitled_until;
+}
+
+bool rr_core_node_live(const rr_core *c, const char *name) {
+    return term_node(c, name) != NULL;
+}
+
+unsigned rr_core_live(const rr_core *c) {
+    return c->term.nodes->len;
+}
+
+uint64_t rr_core_token(const rr_core *c) {
+    return c->term.token;
+}
+
+/* FNV-1a with a final mix: the same on every node and in every version that shares a store. */
+static uint64_t hash_pair(const char *a, const char *b) {
+    uint64_t h = 1469598103934665603ULL;
+    for (const char *s = a; *s; s++) {
+        h = (h ^ (unsigned char)*s) * 1099511628211ULL;
+    }
+    h = (h ^ '|') * 1099511628211ULL;
+    for (const char *s = b; *s; s++) {
+        h = (h ^ (unsigned char)*s) * 1099511628211ULL;
+    }
+    h ^= h >> 33;
+    h *= 0xff51afd7ed558ccdULL;
+    h ^= h >> 33;
+    return h;
+}
+
+/* Rendezvous hashing by node name: a change of the live set moves few teams, and a restart none. */
+const char *rr_owner_of(const rr_core *c, const char *what) {
+    const char *best = NULL;
+    uint64_t most = 0;
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        const rr_session *s = &g_array_index(c->term.nodes, rr_session, i);
+        uint64_t h = hash_pair(s->name, what);
+        if (!best || h > most) {
+            best = s->name;
+            most = h;
+        }
+    }
+    return best;
+}
+
+bool rr_owns_team(const rr_core *c, int team) {
+    const char *owner = rr_owner_of(c, rr_names_at(&c->teams, team));
+    return owner && strcmp(owner, c->cfg->node_name) == 0;
+}
+
+bool rr_core_is_steward(const rr_core *c, double now) {
+    const char *s = rr_owner_of(c, "/steward");
+    return rr_core_entitled(c, now) && s && strcmp(s, c->cfg->node_name) == 0;
+}
+
+static gint by_name(gconstpointer a, gconstpointer b) {
+    return strcmp((*(const rr_session *const *)a)->name, (*(const rr_session *const *)b)->name);
+}
+
+static bool sessions_changed(const rr_core *c, const GPtrArray *live) {
+    if (live->len != c->term.nodes->len) {
+        return true;
+    }
+    for (guint i = 0; i < live->len; i++) {
+        const rr_session *s = g_ptr_array_index(live, i);
+        const rr_session *t = term_node(c, s->name);
+        if (!t || t->tether != s->tether) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool rr_core_next_term(rr_core *c, double now, double wall, rr_txn *out) {
+    (void)now;
+    if (!c->loaded || !rr_core_session_seen(c, c->tether)) {
+        return false;
+    }
+    GPtrArray *live = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->sessions);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        g_ptr_array_add(live, v);
+    }
+    g_ptr_array_sort(live, by_name);
+    bool change = sessions_changed(c, live);
+    if (change) {
+        rr_out o;
+        rr_out_init(&o);
+        rr_put_map(&o, 3);
+        rr_put_key_u64(&o, "token", c->term.token + 1);
+        rr_put_key_num(&o, "born", c->term.token ? c->term.born : wall);
+        rr_put_text(&o, "nodes");
+        rr_put_array(&o, live->len);
+        for (guint i = 0; i < live->len; i++) {
+            const rr_session *s = g_ptr_array_index(live, i);
+            rr_put_array(&o, 2);
+            rr_put_text(&o, s->name);
+            rr_put_u64(&o, s->tether);
+        }
+        rr_txn_guard(out, RR_ROOT "term", c->term.mark);
+        rr_txn_put(out, RR_ROOT "term", &o, 0);
+    }
+    g_ptr_array_free(live, TRUE);
+    return change;
+}
--- /dev/null
+++ b/src/core/troubles.c
@@ -0,0 +1,81 @@
+/* What a silence, a notice or a failure means. Silence alone proves nothing about a task: these
+ * judgements only decide where new work goes and which machine is asked back from the cloud. */
+#include "core/model.h"
+
+#include <string.h>
+
+#define ERR_WINDOW_S 150.0
+
+double rr_silent_for(const rr_machine *m, double now) {
+    return m->heard ? now - m->heard_at : now - m->known_at;
+}
+
+bool rr_machine_fresh(const rr_core *c, const rr_machine *m, double now) {
+    return m->heard &&
+           now - m->heard_at <= c->cfg->tune.silent_reports * c->cfg->report_s;
+}
+
+/* DESIGN's risk: a cut zone keeps stale reports, so only a fresh one makes room count. */
+bool rr_machine_usable(const rr_core *c, const rr_machine *m, double now) {
+    return m->recorded && !m->ret && m->addr[0] && rr_machine_fresh(c, m, now) &&
+           m->rep.recall_s < 0 && now >= m->full_until && !rr_machine_sick(m) && !m->give_up;
+}
+
+/* A job that fails on many machines is at fault itself and says nothing about this one. */
+bool rr_machine_sick(const rr_machine *m) {
+    guint n = 0;
+    for (guint i = 0; i < m->err_jobs->len; i++) {
+        const rr_job *j = g_array_index(m->err_jobs, rr_job *, i);
+        n += !j->failed_on || j->failed_on->len <= 2;
+    }
+    return n >= 2;
+}
+
+static bool array_has(const GArray *a, const void *item, guint size) {
+    for (guint i = 0; i < a->len; i++) {
+        if (memcmp(a->data + (size_t)i * size, item, size) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void rr_note_error(rr_core *c, rr_machine *m, rr_job *j, double now) {
+    if (m->err_at > 0 && now - m->err_at > ERR_WINDOW_S) {
+        g_array_set_size(m->err_jobs, 0);
+    }
+    m->err_at = now;
+    if (!array_has(m->err_jobs, &j, sizeof j) && m->err_jobs->len < 16) {
+        g_array_append_val(m->err_jobs, j);
+    }
+    if (!j->failed_on) {
+        j->failed_on = g_array_new(FALSE, FALSE, sizeof(int));
+    }
+    if (!array_has(j->failed_on, &m->id, sizeof m->id) && j->failed_on->len < 16) {
+        g_array_append_val(j->failed_on, m->id);
+    }
+    /* The first two failures may be the machines'; then the job waits longer each time. */
+    guint n = j->failed_on->len;
+    double pause = n <= 2 ? 0 : n >= 7 ? 60 : (double)(1u << (n - 1));
+    j->hold_until = now + pause;
+    rr_log_at(c, RR_LOG_INFO, "task of %s failed on %s (job on %u machines, machine with %u jobs)",
+              j->s.ref, m->name, n, m->err_jobs->len);
+}
+
+/* A machine counts as dead or hung if it is silent while its zone is heard, or, where it has no
+ * neighbours to compare with, if the probes through the peers failed too. A silent zone is a cut. */
+bool rr_machine_dead(rr_core *c, rr_machine *m, double now) {
+    double limit = c->cfg->tune.dead_reports * c->cfg->report_s;
+    if (!m->recorded || !m->heard || rr_silent_for(m, now) < limit) {
+        return false;
+    }
+    guint others = 0, heard = 0;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *o = g_ptr_array_index(c->machine_list, i);
+        if (o != m && o->ward == m->ward && o->recorded && o->heard) {
+            others++;
+            heard += rr_machine_fresh(c, o, now);
+        }
+    }
+    return m->probe_fails >= 2 && (heard * 2 >= others);
+}
--- /dev/null
+++ b/src/core/txn.c
@@ -0,0 +1,79 @@
+#include "core/txn.h"
+
+#include <string.h>
+
+static void guard_free(gpointer p) {
+    g_free(((rr_guard *)p)->key);
+}
+
+static void change_free(gpointer p) {
+    rr_change *c = p;
+    g_free(c->key);
+    g_free(c->value);
+}
+
+void rr_txn_init(rr_txn *t) {
+    t->guards = g_array_new(FALSE, FALSE, sizeof(rr_guard));
+    t->changes = g_array_new(FALSE, FALSE, sizeof(rr_change));
+    g_array_set_clear_func(t->guards, guard_free);
+    g_array_set_clear_func(t->changes, change_free);
+}
+
+void rr_txn_clear(rr_txn *t) {
+    if (t->guards) {
+        g_array_free(t->guards, TRUE);
+        g_array_free(t->changes, TRUE);
+    }
+    t->guards = t->changes = NULL;
+}
+
+void rr_txn_guard(rr_txn *t, const char *key, uint64_t mark) {
+    for (guint i = 0; i < t->guards->len; i++) {
+        if (strcmp(g_array_index(t->guards, rr_guard, i).key, key) == 0) {
+            return;
+        }
+    }
+    rr_guard g = {g_strdup(key), mark};
+    g_array_append_val(t->guards, g);
+}
+
+void rr_txn_put(rr_txn *t, const char *key, rr_out *value, uint64_t tether) {
+    rr_change c = {g_strdup(key), g_memdup2(value->buf.data, value->buf.size), value->buf.size,
+                   tether};
+    g_array_append_val(t->changes, c);
+    rr_out_clear(value);
+}
+
+void rr_txn_delete(rr_txn *t, const char *key) {
+    rr_change c = {g_strdup(key), NULL, 0, 0};
+    g_array_append_val(t->changes, c);
+}
+
+void rr_txn_encode(const rr_txn *t, rr_out *o) {
+    rr_put_map(o, 2);
+    rr_put_text(o, "guards");
+    rr_put_array(o, t->guards->len);
+    for (guint i = 0; i < t->guards->len; i++) {
+        const rr_guard *g = &g_array_index(t->guards, rr_guard, i);
+        rr_put_map(o, 2);
+        rr_put_key_text(o, "path", g->key);
+        rr_put_key_u64(o, "mark", g->mark);
+    }
+    rr_put_text(o, "apply");
+    rr_put_array(o, t->changes->len);
+    for (guint i = 0; i < t->changes->len; i++) {
+        const rr_change *c = &g_array_index(t->changes, rr_change, i);
+        if (!c->value) {
+            rr_put_map(o, 1);
+            rr_put_key_text(o, "delete", c->key);
+            continue;
+        }
+        rr_put_map(o, c->tether ? 3 : 2);
+        rr_put_key_text(o, "put", c->key);
+        rr_put_text(o, "v");
+        msgpack_sbuffer_write(&o->buf, c->value, c->len);
+        if (c->tether) {
+            rr_put_key_u64(o, "tether", c->tether);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/users.c
@@ -0,0 +1,111 @@
+/* What users ask: admission, states, cancelling. */
+#include "core/model.h"
+
+#include <string.h>
+
+static const struct rr_team_config *team_config(const rr_core *c, const char *name) {
+    for (size_t i = 0; i < c->cfg->nteams; i++) {
+        if (strcmp(c->cfg->teams[i].name, name) == 0) {
+            return &c->cfg->teams[i];
+        }
+    }
+    return NULL;
+}
+
+static bool ward_offered(const rr_build *b, const char *ward) {
+    for (guint i = 0; i < b->wards->len; i++) {
+        if (!ward[0] || strcmp(g_ptr_array_index(b->wards, i), ward) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool build_allowed(const rr_submission *s, const rr_build *b) {
+    for (int i = 0; i < s->nbuilds; i++) {
+        if (strcmp(s->builds[i], b->sku) == 0) {
+            return true;
+        }
+    }
+    return s->nbuilds == 0;
+}
+
+static bool fits_some_build(const rr_core *c, const rr_submission *s) {
+    rr_res need = {s->vcpus, s->cards, s->mem_gb};
+    for (guint i = 0; i < c->build_info->len; i++) {
+        const rr_build *b = rr_build_at(c, (int)i);
+        if (b && build_allowed(s, b) && ward_offered(b, s->ward) &&
+            rr_res_fits(need, (rr_res){b->vcpus, b->cards, b->mem_gb})) {
+            return true;
+        }
+    }
+    return false;
+}
+
+enum rr_admit rr_core_admit(const rr_core *c, const rr_submission *s, const char **why) {
+    const struct rr_team_config *t = team_config(c, s->crew);
+    const rr_job *known = g_hash_table_lookup(c->jobs, s->ref);
+    if (known && known->mark) {
+        return RR_ADMIT_KNOWN;
+    }
+    if (!t) {
+        *why = "unknown crew";
+        return RR_ADMIT_NEVER;
+    }
+    double n = s->shape == RR_SERVICE ? s->pieces : 1;
+    if ((t->cpus_max > 0 && n * s->vcpus > t->cpus_max + RR_EPS) ||
+        (t->gpus_max > 0 && n * s->cards > t->gpus_max + RR_EPS)) {
+        *why = "over the crew's limit";
+        return RR_ADMIT_NEVER;
+    }
+    if (!c->catalog_known) {
+        *why = "machine types not known yet";
+        return RR_ADMIT_UNKNOWN_YET;
+    }
+    if (!fits_some_build(c, s)) {
+        *why = "fits no allowed machine type";
+        return RR_ADMIT_NEVER;
+    }
+    return RR_ADMIT_OK;
+}
+
+static uint32_t count_running(const rr_core *c, const rr_job *j) {
+    uint32_t n = 0;
+    for (guint i = 0; i < c->machine_list->len && j->nplaced; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        for (guint k = 0; k < m->places->len; k++) {
+            const rr_place *p = &g_array_index(m->places, rr_place, k);
+            if (p->job != j) {
+                continue;
+            }
+            const rr_piece *r = rr_piece_find(m, p);
+            n += r && r->standing == RR_RUNNING;
+        }
+    }
+    return n;
+}
+
+void rr_core_job_view(const rr_core *c, const char *ref, rr_job_view *out) {
+    memset(out, 0, sizeof *out);
+    out->standing = "queued";
+    const rr_job *j = g_hash_table_lookup(c->jobs, ref);
+    if (!j || j->mark == 0) {
+        return;
+    }
+    out->known = true;
+    out->mark = j->mark;
+    out->ndone = j->ndone;
+    out->done = j->done;
+    out->aborted = !j->done && j->cancelled;
+    if (out->done) {
+        out->standing = "done";
+    } else if (out->aborted) {
+        out->standing = "aborted";
+    } else if ((out->nrunning = count_running(c, j)) > 0) {
+        out->standing = "running";
+    }
+}
+
+bool rr_core_ready(const rr_core *c, double now) {
+    return rr_core_entitled(c, now) && c->catalog_known;
+}
--- /dev/null
+++ b/src/http/door.h
@@ -0,0 +1,28 @@
+/* The HTTP door for users, workers and health checks, on libmicrohttpd with a thread a connection.
+ * It reads and answers; what a request means is the handler's. */
+#ifndef RR_HTTP_DOOR_H
+#define RR_HTTP_DOOR_H
+
+#include "core/config.h"
+#include "wire/wire.h"
+
+struct rr_request {
+    const char *method, *path;
+    const void *body;
+    size_t len;
+};
+
+struct rr_response {
+    int status;
+    rr_out body;         /* initialised by the door; empty: no body */
+    int retry_after_s;   /* 0: none */
+    const char *allow;   /* with 405 */
+};
+
+typedef void (*rr_handler_fn)(void *user, const struct rr_request *rq, struct rr_response *rs);
+
+typedef struct rr_door rr_door;
+rr_door *rr_door_start(const struct rr_config *cfg, rr_handler_fn fn, void *user);
+void rr_door_stop(rr_door *d);
+
+#endif
--- /dev/null
+++ b/src/peer/frame.c
@@ -0,0 +1,98 @@
+#include "peer/frame.h"
+
+#include <errno.h>
+#include <string.h>
+
+void rr_frame_u8(GByteArray *b, uint8_t v) {
+    g_byte_array_append(b, &v, 1);
+}
+
+void rr_frame_u16(GByteArray *b, uint16_t v) {
+    uint8_t x[2] = {(uint8_t)(v >> 8), (uint8_t)v};
+    g_byte_array_append(b, x, 2);
+}
+
+void rr_frame_u32(GByteArray *b, uint32_t v) {
+    uint8_t x[4] = {(uint8_t)(v >> 24), (uint8_t)(v >> 16), (uint8_t)(v >> 8), (uint8_t)v};
+    g_byte_array_append(b, x, 4);
+}
+
+void rr_frame_bytes(GByteArray *b, const void *data, uint32_t len) {
+    rr_frame_u32(b, len);
+    if (len) {
+        g_byte_array_append(b, data, len);
+    }
+}
+
+void rr_frame_begin(GByteArray *b, enum rr_frame_type type) {
+    g_byte_array_set_size(b, 0);
+    rr_frame_u8(b, 'R');
+    rr_frame_u8(b, 'r');
+    rr_frame_u8(b, RR_FRAME_VERSION);
+    rr_frame_u8(b, (uint8_t)type);
+    rr_frame_u32(b, 0);
+}
+
+void rr_frame_end(GByteArray *b) {
+    uint32_t n = b->len - RR_FRAME_HEAD;
+    b->data[4] = (uint8_t)(n >> 24);
+    b->data[5] = (uint8_t)(n >> 16);
+    b->data[6] = (uint8_t)(n >> 8);
+    b->data[7] = (uint8_t)n;
+}
+
+int rr_frame_head(const uint8_t head[RR_FRAME_HEAD], uint8_t *type, uint32_t *len) {
+    if (head[0] != 'R' || head[1] != 'r' || head[2] != RR_FRAME_VERSION) {
+        return -EBADMSG;
+    }
+    *type = head[3];
+    *len = (uint32_t)head[4] << 24 | (uint32_t)head[5] << 16 | (uint32_t)head[6] << 8 | head[7];
+    return *len > RR_FRAME_MAX ? -EBADMSG : 0;
+}
+
+static const uint8_t *take(rr_unpack *u, size_t n) {
+    if (u->bad || u->left < n) {
+        u->bad = true;
+        return NULL;
+    }
+    const uint8_t *p = u->p;
+    u->p += n;
+    u->left -= n;
+    return p;
+}
+
+uint8_t rr_unpack_u8(rr_unpack *u) {
+    const uint8_t *p = take(u, 1);
+    return p ? p[0] : 0;
+}
+
+uint16_t rr_unpack_u16(rr_unpack *u) {
+    const uint8_t *p = take(u, 2);
+    return p ? (uint16_t)(p[0] << 8 | p[1]) : 0;
+}
+
+uint32_t rr_unpack_u32(rr_unpack *u) {
+    const uint8_t *p = take(u, 4);
+    return p ? (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 | (uint32_t)p[2] << 8 | p[3] : 0;
+}
+
+const uint8_t *rr_unpack_bytes(rr_unpack *u, uint32_t *len) {
+    *len = rr_unpack_u32(u);
+    const uint8_t *p = take(u, *len);
+    if (!p) {
+        *len = 0;
+    }
+    return p;
+}
+
+bool rr_unpack_text(rr_unpack *u, char *out, size_t size) {
+    uint32_t n;
+    const uint8_t *p = rr_unpack_bytes(u, &n);
+    if (!p || n >= size || memchr(p, 0, n)) {
+        u->bad = true;
+        return false;
+    }
+    memcpy(out, p, n);
+    out[n] = 0;
+    return true;
+}
--- /dev/null
+++ b/src/peer/frame.h
@@ -0,0 +1,42 @@
+/* Packed frames between controllers: magic 'R' 'r', version, type, then the length of what follows,
+ * big-endian; fields packed by hand. Unpacking checks every length and trusts nothing. */
+#ifndef RR_PEER_FRAME_H
+#define RR_PEER_FRAME_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define RR_FRAME_VERSION 1
+#define RR_FRAME_HEAD 8
+#define RR_FRAME_MAX (256 * 1024)
+
+enum rr_frame_type {
+    RR_FRAME_HELLO = 1,  /* node name */
+    RR_FRAME_REPORT = 2, /* a worker's report as it came */
+    RR_FRAME_RELAY = 3,  /* carry a call to a worker: address, body (empty: GET /status) */
+    RR_FRAME_ANSWER = 4  /* its outcome: sent, status, body */
+};
+
+void rr_frame_begin(GByteArray *b, enum rr_frame_type type);
+void rr_frame_end(GByteArray *b); /* sets the length */
+void rr_frame_u8(GByteArray *b, uint8_t v);
+void rr_frame_u16(GByteArray *b, uint16_t v);
+void rr_frame_u32(GByteArray *b, uint32_t v);
+void rr_frame_bytes(GByteArray *b, const void *data, uint32_t len);
+
+/* 0 and the payload's length, or -EBADMSG. */
+int rr_frame_head(const uint8_t head[RR_FRAME_HEAD], uint8_t *type, uint32_t *len);
+
+typedef struct {
+    const uint8_t *p;
+    size_t left;
+    bool bad;
+} rr_unpack;
+uint8_t rr_unpack_u8(rr_unpack *u);
+uint16_t rr_unpack_u16(rr_unpack *u);
+uint32_t rr_unpack_u32(rr_unpack *u);
+const uint8_t *rr_unpack_bytes(rr_unpack *u, uint32_t *len);
+bool rr_unpack_text(rr_unpack *u, char *out, size_t size);
+
+#endif
--- /dev/null
+++ b/src/store/store.c
@@ -0,0 +1,203 @@
+#include "store/store.h"
+
+#include <errno.h>
+#include <string.h>
+
+struct rr_store {
+    struct rr_endpoint to;
+    rr_budget *budget;
+    rr_client *client;
+};
+
+rr_store *rr_store_create(const struct rr_endpoint *to, rr_budget *budget,
+                          const atomic_bool *stop) {
+    rr_store *s = g_new0(rr_store, 1);
+    s->to = *to;
+    s->budget = budget;
+    s->client = rr_client_create(stop);
+    if (!s->client) {
+        g_free(s);
+        return NULL;
+    }
+    return s;
+}
+
+void rr_store_destroy(rr_store *s) {
+    if (s) {
+        rr_client_destroy(s->client);
+        g_free(s);
+    }
+}
+
+static int call(rr_store *s, enum rr_prio prio, int writes, const char *method, const char *path,
+                rr_out *body, double timeout_s, rr_reply *reply) {
+    if (rr_budget_take(s->budget, prio, writes, timeout_s) != 0) {
+        return -ENOTCONN;
+    }
+    struct rr_call c = {.method = method,
+                        .to = &s->to,
+                        .path = path,
+                        .body = body ? body->buf.data : NULL,
+                        .len = body ? body->buf.size : 0,
+                        .timeout_s = timeout_s};
+    return rr_client_call(s->client, &c, reply);
+}
+
+static void failed_keys(const msgpack_object *root, GPtrArray *failed) {
+    const msgpack_object *list = rr_get(root, "failed");
+    char key[256];
+    for (uint32_t i = 0; list && list->type == MSGPACK_OBJECT_ARRAY && i < list->via.array.size;
+         i++) {
+        if (rr_as_text(&list->via.array.ptr[i], key, sizeof key)) {
+            g_ptr_array_add(failed, g_strdup(key));
+        }
+    }
+}
+
+static enum rr_commit outcome(const rr_reply *reply, uint64_t *epoch, GPtrArray *failed) {
+    if (reply->status == 400) {
+        rr_doc e;
+        rr_doc_parse(&e, reply->body->data, reply->body->len);
+        bool lease = rr_text_is(rr_get(e.root, "error"), "no such lease");
+        rr_doc_clear(&e);
+        return lease ? RR_NO_LEASE : RR_REFUSED;
+    }
+    if (reply->status != 200 && reply->status != 409) {
+        return reply->status == 503 || reply->status == 429 ? RR_REFUSED : RR_DOUBT;
+    }
+    rr_doc doc;
+    enum rr_commit rc = RR_DOUBT;
+    if (rr_doc_parse(&doc, reply->body->data, reply->body->len) == 0 &&
+        rr_get_u64(doc.root, "epoch", epoch)) {
+        rc = reply->status == 200 ? RR_COMMITTED : RR_CONFLICT;
+        if (failed && rc == RR_CONFLICT) {
+            failed_keys(doc.root, failed);
+        }
+    }
+    rr_doc_clear(&doc);
+    return rc;
+}
+
+enum rr_commit rr_store_commit(rr_store *s, enum rr_prio prio, const rr_txn *t, double timeout_s,
+                               uint64_t *epoch, GPtrArray *failed) {
+    rr_out o;
+    rr_reply reply;
+    rr_out_init(&o);
+    rr_txn_encode(t, &o);
+    int rc = call(s, prio, (int)t->changes->len, "POST", "/commit", &o, timeout_s, &reply);
+    rr_out_clear(&o);
+    if (rc == -ENOTCONN) {
+        return RR_REFUSED;
+    }
+    return rc != 0 ? RR_DOUBT : outcome(&reply, epoch, failed);
+}
+
+int rr_store_epoch(rr_store *s, uint64_t *epoch, double timeout_s) {
+    /* A key that never exists: its 404 carries the store's revision. */
+    rr_reply reply;
+    rr_doc doc;
+    if (call(s, RR_PRIO_READ, 0, "GET", "/store/rr-epoch", NULL, timeout_s, &reply) != 0 ||
+        reply.status != 404) {
+        return -EAGAIN;
+    }
+    int rc = -EAGAIN;
+    if (rr_doc_parse(&doc, reply.body->data, reply.body->len) == 0 &&
+        rr_get_u64(doc.root, "epoch", epoch)) {
+        rc = 0;
+    }
+    rr_doc_clear(&doc);
+    return rc;
+}
+
+static int parse_reply(const rr_reply *reply, rr_doc *doc) {
+    if (rr_doc_parse(doc, reply->body->data, reply->body->len) != 0 || !rr_is_map(doc->root)) {
+        rr_doc_clear(doc);
+        return -EAGAIN;
+    }
+    return 0;
+}
+
+int rr_store_get(rr_store *s, const char *key, rr_doc *doc, uint64_t *mark, uint64_t *tether) {
+    char path[256];
+    rr_reply reply;
+    g_snprintf(path, sizeof path, "/store/%s", key);
+    if (call(s, RR_PRIO_SESSION, 0, "GET", path, NULL, 2, &reply) != 0 ||
+        (reply.status != 200 && reply.status != 404)) {
+        return -EAGAIN;
+    }
+    if (reply.status == 404) {
+        return -ENOENT;
+    }
+    int rc = parse_reply(&reply, doc);
+    if (rc == 0) {
+        *mark = *tether = 0;
+        rr_get_u64(doc->root, "mark", mark);
+        rr_get_u64(doc->root, "tether", tether);
+    }
+    return rc;
+}
+
+int rr_store_list(rr_store *s, const char *prefix, const char *from, rr_doc *doc) {
+    char path[512];
+    rr_reply reply;
+    g_snprintf(path, sizeof path, "/store?starts=%s%s%s&limit=500", prefix, from ? "&from=" : "",
+               from ? from : "");
+    if (call(s, RR_PRIO_SESSION, 0, "GET", path, NULL, 5, &reply) != 0 || reply.status != 200) {
+        return -EAGAIN;
+    }
+    return parse_reply(&reply, doc);
+}
+
+int rr_store_watch(rr_store *s, const char *prefix, uint64_t from, int hold_ms, rr_doc *doc) {
+    char path[256];
+    rr_reply reply;
+    g_snprintf(path, sizeof path, "/watch?starts=%s&from=%" G_GUINT64_FORMAT "&hold_ms=%d", prefix,
+               from, hold_ms);
+    if (call(s, RR_PRIO_SESSION, 0, "GET", path, NULL, hold_ms / 1000.0 + 3, &reply) != 0) {
+        return -EAGAIN;
+    }
+    if (reply.status == 410) {
+        return -ESTALE;
+    }
+    return reply.status == 200 ? parse_reply(&reply, doc) : -EAGAIN;
+}
+
+int rr_store_lease(rr_store *s, double life_s, uint64_t *tether) {
+    rr_out o;
+    rr_reply reply;
+    rr_doc doc;
+    rr_out_init(&o);
+    rr_put_map(&o, 1);
+    rr_put_key_u64(&o, "life_ms", (uint64_t)(life_s * 1000));
+    int rc = call(s, RR_PRIO_SESSION, 0, "POST", "/holds", &o, 1.5, &reply);
+    rr_out_clear(&o);
+    if (rc != 0 || reply.status != 200 || parse_reply(&reply, &doc) != 0) {
+        return -EAGAIN;
+    }
+    rc = rr_get_u64(doc.root, "tether", tether) ? 0 : -EAGAIN;
+    rr_doc_clear(&doc);
+    return rc;
+}
+
+static int hold_call(rr_store *s, const char *method, uint64_t tether, const char *verb) {
+    char path[96];
+    rr_reply reply;
+    rr_out o;
+    g_snprintf(path, sizeof path, "/holds/%" G_GUINT64_FORMAT "%s", tether, verb);
+    rr_out_init(&o);
+    rr_put_map(&o, 0);
+    int rc = call(s, RR_PRIO_SESSION, 0, method, path, &o, 1.5, &reply);
+    rr_out_clear(&o);
+    if (rc != 0) {
+        return -EAGAIN;
+    }
+    return reply.status == 200 ? 0 : reply.status == 404 ? -ENOENT : -EAGAIN;
+}
+
+int rr_store_renew(rr_store *s, uint64_t tether) {
+    return hold_call(s, "POST", tether, "/renew");
+}
+
+int rr_store_end_lease(rr_store *s, uint64_t tether) {
+    return hold_call(s, "DELETE", tether, "");
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,44 @@
+/* The state service: budgets, transactions, leases, reads. A client object belongs to one thread;
+ * the budget is shared by all threads of the process and locks itself. */
+#ifndef RR_STORE_STORE_H
+#define RR_STORE_STORE_H
+
+#include "core/txn.h"
+#include "net/client.h"
+#include "wire/wire.h"
+
+/* Who goes first when the budget is short. */
+enum rr_prio { RR_PRIO_SESSION, RR_PRIO_USER, RR_PRIO_READ, RR_PRIO_PLAN, RR_PRIO_LOW };
+
+typedef struct rr_budget rr_budget;
+rr_budget *rr_budget_create(double rps, double write_rps);
+void rr_budget_destroy(rr_budget *b);
+/* Parts the service's limits among the live controllers. */
+void rr_budget_share(rr_budget *b, unsigned live);
+/* Waits up to wait_s for one request with `writes` changes. 0 or -EAGAIN. */
+int rr_budget_take(rr_budget *b, enum rr_prio prio, int writes, double wait_s);
+
+typedef struct rr_store rr_store;
+rr_store *rr_store_create(const struct rr_endpoint *to, rr_budget *budget, const atomic_bool *stop);
+void rr_store_destroy(rr_store *s);
+
+/* Outcome of a transaction. */
+enum rr_commit { RR_COMMITTED, RR_CONFLICT, RR_REFUSED, RR_DOUBT, RR_NO_LEASE };
+/* One try. RR_REFUSED: not executed. RR_DOUBT: it may have been or may still be. *epoch is set with
+ * the first two. failed, if given, gets the keys whose guards did not hold. */
+enum rr_commit rr_store_commit(rr_store *s, enum rr_prio prio, const rr_txn *t, double timeout_s,
+                               uint64_t *epoch, GPtrArray *failed);
+
+int rr_store_epoch(rr_store *s, uint64_t *epoch, double timeout_s);
+/* 0 with the value in *doc and its mark and tether; -ENOENT; -EAGAIN: no answer. */
+int rr_store_get(rr_store *s, const char *key, rr_doc *doc, uint64_t *mark, uint64_t *tether);
+int rr_store_list(rr_store *s, const char *prefix, const char *from, rr_doc *doc);
+/* -ESTALE: too old (410). */
+int rr_store_watch(rr_store *s, const char *prefix, uint64_t from, int hold_ms, rr_doc *doc);
+
+int rr_store_lease(rr_store *s, double life_s, uint64_t *tether);
+/* 0, -ENOENT (ended), -EAGAIN (no answer or refused). */
+int rr_store_renew(rr_store *s, uint64_t tether);
+int rr_store_end_lease(rr_store *s, uint64_t tether);
+
+#endif
--- /dev/null
+++ b/src/wire/messages.c
@@ -0,0 +1,317 @@
+/* Users', workers' and cloud messages. */
+#include "wire/wire.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define AMOUNT_MAX 1e9
+
+static const char *const shapes[] = {"batch", "service"};
+static const char *const ranks[] = {"low", "standard", "high", "prod"};
+static const char *const verbs[] = {"start", "stop", "reap"};
+
+static int index_of(const msgpack_object *o, const char *const *names, int n) {
+    for (int i = 0; i < n; i++) {
+        if (rr_text_is(o, names[i])) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+bool rr_ref_valid(const char *ref) {
+    if (strncmp(ref, "req-", 4) != 0 || strlen(ref) < 5 || strlen(ref) > 40) {
+        return false;
+    }
+    for (const char *c = ref + 4; *c; c++) {
+        if (!isdigit((unsigned char)*c)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A name is text without spaces or control characters and not empty. */
+static bool get_name(const msgpack_object *o, const char *key, char *out, size_t size) {
+    if (!rr_get_text(o, key, out, size) || !out[0]) {
+        return false;
+    }
+    for (const char *c = out; *c; c++) {
+        if ((unsigned char)*c <= ' ') {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool get_amount(const msgpack_object *o, const char *key, double least, double *out) {
+    return rr_get_num(o, key, out) && *out >= least && *out <= AMOUNT_MAX;
+}
+
+static bool get_builds(const msgpack_object *o, rr_submission *s) {
+    const msgpack_object *b = rr_get(o, "builds");
+    s->nbuilds = 0;
+    if (!b) {
+        return true;
+    }
+    if (b->type != MSGPACK_OBJECT_ARRAY || b->via.array.size == 0 ||
+        b->via.array.size > RR_BUILDS_MAX) {
+        return false;
+    }
+    for (uint32_t i = 0; i < b->via.array.size; i++) {
+        if (!rr_as_text(&b->via.array.ptr[i], s->builds[s->nbuilds], RR_ID)) {
+            return false;
+        }
+        s->nbuilds++;
+    }
+    return true;
+}
+
+static bool get_pieces(const msgpack_object *o, uint32_t *out) {
+    uint64_t n;
+    if (!rr_get_u64(o, "pieces", &n) || n == 0 || n > RR_PIECES_MAX) {
+        return false;
+    }
+    *out = (uint32_t)n;
+    return true;
+}
+
+#define NEED(cond, name)                                                                           \
+    do {                                                                                           \
+        if (!(cond)) {                                                                             \
+            *field = name;                                                                         \
+            return -EINVAL;                                                                        \
+        }                                                                                          \
+    } while (0)
+
+int rr_submission_decode(const msgpack_object *o, rr_submission *s, const char **field) {
+    memset(s, 0, sizeof *s);
+    NEED(rr_is_map(o), "body");
+    NEED(get_name(o, "ref", s->ref, sizeof s->ref) && rr_ref_valid(s->ref), "ref");
+    NEED(get_name(o, "lane", s->lane, sizeof s->lane), "lane");
+    NEED(get_name(o, "crew", s->crew, sizeof s->crew), "crew");
+    NEED(get_name(o, "cast", s->cast, sizeof s->cast), "cast");
+    int shape = index_of(rr_get(o, "shape"), shapes, 2);
+    NEED(shape >= 0, "shape");
+    int rank = index_of(rr_get(o, "rank"), ranks, 4);
+    NEED(rank >= 0, "rank");
+    s->shape = (enum rr_shape)shape;
+    s->rank = (enum rr_rank)rank;
+    NEED(get_pieces(o, &s->pieces), "pieces");
+    NEED(get_amount(o, "vcpus", 0, &s->vcpus), "vcpus");
+    NEED(get_amount(o, "cards", 0, &s->cards), "cards");
+    NEED(get_amount(o, "mem_gb", 0, &s->mem_gb), "mem_gb");
+    NEED(get_amount(o, "pull_gb", 0, &s->pull_gb), "pull_gb");
+    NEED(get_amount(o, "guess_s", 0, &s->guess_s), "guess_s");
+    NEED(get_amount(o, "cairn_s", 0, &s->cairn_s), "cairn_s");
+    NEED(get_amount(o, "stash_s", 0, &s->stash_s), "stash_s");
+    s->due_s = -1;
+    NEED(!rr_get(o, "due_s") || get_amount(o, "due_s", 0, &s->due_s), "due_s");
+    NEED(!rr_get(o, "ward") || get_name(o, "ward", s->ward, sizeof s->ward), "ward");
+    NEED(get_builds(o, s), "builds");
+    NEED(rr_get_bool(o, "one_zone", &s->one_zone), "one_zone");
+    NEED(rr_get_bool(o, "apart", &s->apart), "apart");
+    NEED(rr_get_bool(o, "loaners", &s->loaners), "loaners");
+    return 0;
+}
+
+size_t rr_submission_field_count(const rr_submission *s) {
+    return 17 + (s->due_s >= 0) + (s->ward[0] != 0) + (s->nbuilds > 0);
+}
+
+void rr_submission_encode_fields(rr_out *o, const rr_submission *s) {
+    rr_put_key_text(o, "ref", s->ref);
+    rr_put_key_text(o, "lane", s->lane);
+    rr_put_key_text(o, "crew", s->crew);
+    rr_put_key_text(o, "cast", s->cast);
+    rr_put_key_text(o, "shape", shapes[s->shape]);
+    rr_put_key_text(o, "rank", ranks[s->rank]);
+    rr_put_key_u64(o, "pieces", s->pieces);
+    rr_put_key_num(o, "vcpus", s->vcpus);
+    rr_put_key_num(o, "cards", s->cards);
+    rr_put_key_num(o, "mem_gb", s->mem_gb);
+    rr_put_key_num(o, "pull_gb", s->pull_gb);
+    rr_put_key_num(o, "guess_s", s->guess_s);
+    rr_put_key_num(o, "cairn_s", s->cairn_s);
+    rr_put_key_num(o, "stash_s", s->stash_s);
+    if (s->due_s >= 0) {
+        rr_put_key_num(o, "due_s", s->due_s);
+    }
+    if (s->ward[0]) {
+        rr_put_key_text(o, "ward", s->ward);
+    }
+    if (s->nbuilds) {
+        rr_put_text(o, "builds");
+        rr_put_array(o, (size_t)s->nbuilds);
+        for (int i = 0; i < s->nbuilds; i++) {
+            rr_put_text(o, s->builds[i]);
+        }
+    }
+    rr_put_key_bool(o, "one_zone", s->one_zone);
+    rr_put_key_bool(o, "apart", s->apart);
+    rr_put_key_bool(o, "loaners", s->loaners);
+}
+
+bool rr_piece_parse(const char *text, char *ref, size_t size, uint32_t *task) {
+    const char *slash = strrchr(text, '/');
+    if (!slash || slash == text || (size_t)(slash - text) >= size) {
+        return false;
+    }
+    char *end;
+    unsigned long n = strtoul(slash + 1, &end, 10);
+    if (!isdigit((unsigned char)slash[1]) || *end || n >= RR_PIECES_MAX) {
+        return false;
+    }
+    memcpy(ref, text, (size_t)(slash - text));
+    ref[slash - text] = 0;
+    *task = (uint32_t)n;
+    return true;
+}
+
+static enum rr_cause cause_of(const msgpack_object *o) {
+    static const char *const names[] = {"done", "halted", "error", "full", "in_use", "no_such"};
+    int i = index_of(o, names, 6);
+    return i < 0 ? RR_CAUSE_OTHER : (enum rr_cause)(RR_DONE + i);
+}
+
+static bool piece_decode(const msgpack_object *o, rr_piece *p) {
+    static const char *const names[] = {"fetching", "running", "flushing", "ended"};
+    char text[2 * RR_ID];
+    int standing = index_of(rr_get(o, "standing"), names, 4);
+    if (!rr_get_text(o, "piece", text, sizeof text) ||
+        !rr_piece_parse(text, p->ref, sizeof p->ref, &p->task) ||
+        !rr_get_u64(o, "try", &p->attempt)) {
+        return false;
+    }
+    /* An unknown standing (a state this version does not know) counts as on the machine. */
+    p->standing = standing < 0 ? RR_FETCHING : (enum rr_standing)standing;
+    p->cause = p->standing == RR_ENDED ? cause_of(rr_get(o, "cause")) : RR_CAUSE_NONE;
+    return true;
+}
+
+int rr_report_decode(const msgpack_object *o, rr_report *r) {
+    memset(r, 0, sizeof *r);
+    r->pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
+    r->recall_s = -1;
+    const msgpack_object *list = rr_get(o, "pieces");
+    if (!rr_get_text(o, "stone", r->stone, sizeof r->stone) || !r->stone[0] ||
+        !rr_get_text(o, "addr", r->addr, sizeof r->addr) ||
+        !rr_get_text(o, "build", r->build, sizeof r->build) ||
+        !rr_get_text(o, "ward", r->ward, sizeof r->ward) ||
+        !rr_get_bool(o, "loaners", &r->loaners) || !rr_get_u64(o, "tenure", &r->tenure) ||
+        !rr_get_u64(o, "tally", &r->tally) || !rr_get_u64(o, "warrant", &r->warrant) ||
+        (list && list->type != MSGPACK_OBJECT_ARRAY) ||
+        (rr_get(o, "recall_s") && !rr_get_num(o, "recall_s", &r->recall_s))) {
+        return -EBADMSG;
+    }
+    for (uint32_t i = 0; list && i < list->via.array.size; i++) {
+        rr_piece p;
+        /* A task list that can't be read whole proves nothing about what is absent. */
+        if (!piece_decode(&list->via.array.ptr[i], &p)) {
+            return -EBADMSG;
+        }
+        g_array_append_val(r->pieces, p);
+    }
+    return 0;
+}
+
+void rr_report_clear(rr_report *r) {
+    if (r->pieces) {
+        g_array_free(r->pieces, TRUE);
+        r->pieces = NULL;
+    }
+}
+
+void rr_orders_encode(rr_out *o, uint64_t warrant, uint64_t tenure, const GArray *orders) {
+    rr_put_map(o, tenure ? 3 : 2);
+    rr_put_key_u64(o, "warrant", warrant);
+    if (tenure) {
+        rr_put_key_u64(o, "tenure", tenure);
+    }
+    rr_put_text(o, "orders");
+    rr_put_array(o, orders ? orders->len : 0);
+    for (guint i = 0; orders && i < orders->len; i++) {
+        const rr_order *c = &g_array_index(orders, rr_order, i);
+        char piece[2 * RR_ID];
+        g_snprintf(piece, sizeof piece, "%s/%u", c->ref, c->task);
+        rr_put_map(o, c->verb == RR_STOP ? 4 : 3);
+        rr_put_key_text(o, "verb", verbs[c->verb]);
+        rr_put_key_text(o, "piece", piece);
+        rr_put_key_u64(o, "try", c->attempt);
+        if (c->verb == RR_STOP) {
+            rr_put_key_num(o, "leave_s", c->leave_s);
+        }
+    }
+}
+
+int rr_build_decode(const msgpack_object *o, rr_build *b) {
+    memset(b, 0, sizeof *b);
+    b->wards = g_ptr_array_new_with_free_func(g_free);
+    const msgpack_object *w = rr_get(o, "wards");
+    if (!rr_get_text(o, "sku", b->sku, sizeof b->sku) || !rr_get_num(o, "vcpus", &b->vcpus) ||
+        !rr_get_num(o, "cards", &b->cards) || !rr_get_num(o, "mem_gb", &b->mem_gb) ||
+        !rr_get_num(o, "price", &b->price) || !w || w->type != MSGPACK_OBJECT_ARRAY) {
+        return -EBADMSG;
+    }
+    b->spot_price = b->price;
+    rr_get_num(o, "spot_price", &b->spot_price);
+    rr_get_num(o, "cache_gb", &b->cache_gb);
+    rr_get_num(o, "pull_gb_per_s", &b->pull_rate);
+    rr_get_num(o, "startup_s", &b->startup_s);
+    for (uint32_t i = 0; i < w->via.array.size; i++) {
+        char ward[RR_TEXT];
+        if (!rr_as_text(&w->via.array.ptr[i], ward, sizeof ward)) {
+            return -EBADMSG;
+        }
+        g_ptr_array_add(b->wards, g_strdup(ward));
+    }
+    return 0;
+}
+
+void rr_build_encode(rr_out *o, const rr_build *b) {
+    rr_put_map(o, 10);
+    rr_put_key_text(o, "sku", b->sku);
+    rr_put_key_num(o, "vcpus", b->vcpus);
+    rr_put_key_num(o, "cards", b->cards);
+    rr_put_key_num(o, "mem_gb", b->mem_gb);
+    rr_put_key_num(o, "cache_gb", b->cache_gb);
+    rr_put_key_num(o, "pull_gb_per_s", b->pull_rate);
+    rr_put_key_num(o, "price", b->price);
+    rr_put_key_num(o, "spot_price", b->spot_price);
+    rr_put_key_num(o, "startup_s", b->startup_s);
+    rr_put_text(o, "wards");
+    rr_put_array(o, b->wards->len);
+    for (guint i = 0; i < b->wards->len; i++) {
+        rr_put_text(o, g_ptr_array_index(b->wards, i));
+    }
+}
+
+void rr_build_clear(rr_build *b) {
+    if (b->wards) {
+        g_ptr_array_free(b->wards, TRUE);
+        b->wards = NULL;
+    }
+}
+
+int rr_stone_decode(const msgpack_object *o, rr_stone *s) {
+    memset(s, 0, sizeof *s);
+    const msgpack_object *st = rr_get(o, "standing");
+    rr_get_text(o, "addr", s->addr, sizeof s->addr);
+    if (!rr_get_text(o, "ref", s->id, sizeof s->id) ||
+        !rr_get_text(o, "build", s->build, sizeof s->build) ||
+        !rr_get_text(o, "ward", s->ward, sizeof s->ward) ||
+        !rr_get_bool(o, "loaners", &s->loaners)) {
+        return -EBADMSG;
+    }
+    rr_get_num(o, "age_s", &s->age_s);
+    if (rr_text_is(st, "running")) {
+        s->state = RR_STONE_RUNNING;
+    } else if (rr_text_is(st, "failed")) {
+        s->state = RR_STONE_FAILED;
+    } else {
+        s->state = RR_STONE_STARTING;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,147 @@
+/* PROTOCOL messages to and from structs. Pure functions: no I/O, no clock, no locks. Decoded trees
+ * belong to their rr_doc; strings in structs are copies. */
+#ifndef RR_WIRE_WIRE_H
+#define RR_WIRE_WIRE_H
+
+#include <glib.h>
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define RR_BODY_MAX (64 * 1024)
+#define RR_PIECES_MAX 100000
+#define RR_ID 64
+#define RR_TEXT 128
+#define RR_BUILDS_MAX 32
+#define RR_DEPTH_MAX 16
+
+/* ---- documents ---- */
+typedef struct {
+    msgpack_unpacked up;
+    const msgpack_object *root;
+} rr_doc;
+
+/* Checks declared lengths and depth before anything is allocated, then decodes one value that must
+ * fill the buffer. 0, or -EBADMSG. rr_doc_clear() is safe after a failure too. */
+int rr_doc_parse(rr_doc *doc, const void *data, size_t len);
+void rr_doc_clear(rr_doc *doc);
+
+/* Map access: a missing key and null are the same: NULL. */
+const msgpack_object *rr_get(const msgpack_object *map, const char *key);
+bool rr_is_map(const msgpack_object *o);
+bool rr_as_u64(const msgpack_object *o, uint64_t *out);
+bool rr_as_num(const msgpack_object *o, double *out); /* integer or decimal, finite */
+bool rr_as_text(const msgpack_object *o, char *out, size_t size);
+bool rr_get_u64(const msgpack_object *map, const char *key, uint64_t *out);
+bool rr_get_num(const msgpack_object *map, const char *key, double *out);
+bool rr_get_text(const msgpack_object *map, const char *key, char *out, size_t size);
+bool rr_get_bool(const msgpack_object *map, const char *key, bool *out);
+bool rr_text_is(const msgpack_object *o, const char *text);
+
+/* ---- encoding ---- */
+typedef struct {
+    msgpack_sbuffer buf;
+    msgpack_packer pk;
+} rr_out;
+void rr_out_init(rr_out *o);
+void rr_out_clear(rr_out *o);
+void rr_put_map(rr_out *o, size_t n);
+void rr_put_array(rr_out *o, size_t n);
+void rr_put_text(rr_out *o, const char *s);
+void rr_put_u64(rr_out *o, uint64_t v);
+void rr_put_num(rr_out *o, double v);
+void rr_put_bool(rr_out *o, bool v);
+void rr_put_key_text(rr_out *o, const char *k, const char *v);
+void rr_put_key_u64(rr_out *o, const char *k, uint64_t v);
+void rr_put_key_num(rr_out *o, const char *k, double v);
+void rr_put_key_bool(rr_out *o, const char *k, bool v);
+
+/* ---- users ---- */
+enum rr_shape { RR_BATCH, RR_SERVICE };
+enum rr_rank { RR_LOW, RR_STANDARD, RR_HIGH, RR_PROD };
+
+typedef struct {
+    char ref[RR_ID], lane[RR_TEXT], crew[RR_TEXT], cast[RR_TEXT], ward[RR_TEXT];
+    char builds[RR_BUILDS_MAX][RR_ID];
+    int nbuilds; /* 0: any */
+    enum rr_shape shape;
+    enum rr_rank rank;
+    uint32_t pieces;
+    double vcpus, cards, mem_gb, pull_gb, guess_s, cairn_s, stash_s;
+    double due_s; /* <0: none */
+    bool one_zone, apart, loaners;
+} rr_submission;
+
+/* 0, or -EINVAL with the field at fault in *field. */
+int rr_submission_decode(const msgpack_object *o, rr_submission *out, const char **field);
+/* Writes the fields of a submission into an open map. */
+void rr_submission_encode_fields(rr_out *o, const rr_submission *s);
+size_t rr_submission_field_count(const rr_submission *s);
+bool rr_ref_valid(const char *ref);
+
+/* ---- workers ---- */
+enum rr_standing { RR_FETCHING, RR_RUNNING, RR_FLUSHING, RR_ENDED };
+enum rr_cause {
+    RR_CAUSE_NONE,
+    RR_DONE,
+    RR_HALTED,
+    RR_ERROR,
+    RR_FULL,
+    RR_IN_USE,
+    RR_NO_SUCH,
+    RR_CAUSE_OTHER
+};
+
+typedef struct {
+    char ref[RR_ID];
+    uint32_t task;
+    uint64_t attempt;
+    enum rr_standing standing;
+    enum rr_cause cause;
+} rr_piece;
+
+typedef struct {
+    char stone[RR_ID], addr[RR_ID], build[RR_ID], ward[RR_TEXT];
+    bool loaners;
+    uint64_t tenure, tally, warrant;
+    double recall_s; /* <0: no notice */
+    GArray *pieces;  /* rr_piece */
+} rr_report;
+
+int rr_report_decode(const msgpack_object *o, rr_report *out);
+void rr_report_clear(rr_report *r);
+bool rr_piece_parse(const char *text, char *ref, size_t size, uint32_t *task);
+
+enum rr_verb { RR_START, RR_STOP, RR_REAP };
+typedef struct {
+    enum rr_verb verb;
+    char ref[RR_ID];
+    uint32_t task;
+    uint64_t attempt;
+    double leave_s;
+} rr_order;
+
+/* Body of /do (tenure > 0) or of an answer to /hello (tenure 0). */
+void rr_orders_encode(rr_out *o, uint64_t warrant, uint64_t tenure, const GArray *orders);
+
+/* ---- cloud ---- */
+typedef struct {
+    char sku[RR_ID];
+    double vcpus, cards, mem_gb, cache_gb, pull_rate, price, spot_price, startup_s;
+    GPtrArray *wards; /* char* */
+} rr_build;
+
+int rr_build_decode(const msgpack_object *o, rr_build *out);
+void rr_build_encode(rr_out *o, const rr_build *b);
+void rr_build_clear(rr_build *b);
+
+enum rr_stone_state { RR_STONE_STARTING, RR_STONE_RUNNING, RR_STONE_FAILED };
+typedef struct {
+    char id[RR_ID], addr[RR_ID], build[RR_ID], ward[RR_TEXT];
+    bool loaners;
+    enum rr_stone_state state;
+    double age_s;
+} rr_stone;
+int rr_stone_decode(const msgpack_object *o, rr_stone *out);
+
+#endif
