--- a/src/core/model.c
+++ b/src/core/model.c
@@ -156,7 +156,8 @@
         rr_build_clear(&b);
         return;
     }
-    rr_build *slot = &g_array_index(c->build_info, rr_build, build_index(c, b.sku));
+    int index = build_index(c, b.sku); /* may move the array */
+    rr_build *slot = &g_array_index(c->build_info, rr_build, index);
     rr_build_clear(slot);
     *slot = b;
     for (guint i = 0; i < b.wards->len; i++) {
