--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -239,10 +239,23 @@
     return out->txn.changes->len > 0;
 }
 
-static bool step_catalog(rr_core *c, double now, rr_step *out) {
-    if (c->fresh_builds->len > 0) {
-        for (guint i = 0; i < c->fresh_builds->len && (int)i < c->cfg->txn_ops; i++) {
-            const rr_build *b = &g_array_index(c->fresh_builds, rr_build, i);
+static bool same_build(const rr_build *a, const rr_build *b) {
+    bool same = a && a->vcpus == b->vcpus && a->cards == b->cards && a->mem_gb == b->mem_gb &&
+                a->cache_gb == b->cache_gb && a->pull_rate == b->pull_rate &&
+                a->price == b->price && a->spot_price == b->spot_price &&
+                a->startup_s == b->startup_s && a->wards->len == b->wards->len;
+    for (guint i = 0; same && i < a->wards->len; i++) {
+        same = strcmp(a->wards->pdata[i], b->wards->pdata[i]) == 0;
+    }
+    return same;
+}
+
+/* What was read is written until the mirror shows it: a change of term may void a transaction. */
+static bool record_builds(rr_core *c, rr_step *out) {
+    for (guint i = 0; i < c->fresh_builds->len; i++) {
+        const rr_build *b = &g_array_index(c->fresh_builds, rr_build, i);
+        if ((int)out->txn.changes->len < c->cfg->txn_ops &&
+            !same_build(rr_build_at(c, rr_names_find(&c->builds, b->sku)), b)) {
             char key[RR_ID + 32];
             rr_out o;
             rr_out_init(&o);
@@ -250,8 +263,12 @@
             g_snprintf(key, sizeof key, RR_ROOT "build/%s", b->sku);
             rr_txn_put(&out->txn, key, &o, 0);
         }
-        guint n = MIN(c->fresh_builds->len, (guint)c->cfg->txn_ops);
-        g_array_remove_range(c->fresh_builds, 0, n);
+    }
+    return out->txn.changes->len > 0;
+}
+
+static bool step_catalog(rr_core *c, double now, rr_step *out) {
+    if (record_builds(c, out)) {
         out->kind = RR_STEP_TXN;
         return true;
     }
