--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -130,7 +130,7 @@
     bool cold = !rr_machine_has_cast(m, j->cast);
     bool urgent = rr_objective_for(c, "wait", j->s.lane) != NULL;
     struct rank r = {0, 0, 0, room};
-    r.trouble = failed_here(m, j) ? 2 : (m->err_at > 0 && now - m->err_at < 60) ? 1 : 0;
+    r.trouble = failed_here(m, j) ? 2 : rr_machine_doubtful(m, now) ? 1 : 0;
     r.image = urgent && cold;
     r.cost = zone_group ? room : rr_machine_price(c, m) * room;
     if (cold && !urgent) {
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -189,6 +189,7 @@
 bool rr_machine_fresh(const rr_core *c, const rr_machine *m, double now);
 bool rr_machine_usable(const rr_core *c, const rr_machine *m, double now);
 bool rr_machine_sick(const rr_machine *m);
+bool rr_machine_doubtful(const rr_machine *m, double now); /* failed a task not long ago */
 void rr_note_error(rr_core *c, rr_machine *m, rr_job *j, double now);
 bool rr_machine_dead(rr_core *c, rr_machine *m, double now);
 double rr_silent_for(const rr_machine *m, double now);
--- a/src/core/troubles.c
+++ b/src/core/troubles.c
@@ -22,13 +22,21 @@
 }
 
 /* A job that fails on many machines is at fault itself and says nothing about this one. */
-bool rr_machine_sick(const rr_machine *m) {
+static guint credible_errors(const rr_machine *m) {
     guint n = 0;
     for (guint i = 0; i < m->err_jobs->len; i++) {
         const rr_job *j = g_array_index(m->err_jobs, rr_job *, i);
         n += !j->failed_on || j->failed_on->len <= 2;
     }
-    return n >= 2;
+    return n;
+}
+
+bool rr_machine_sick(const rr_machine *m) {
+    return credible_errors(m) >= 2;
+}
+
+bool rr_machine_doubtful(const rr_machine *m, double now) {
+    return m->err_at > 0 && now - m->err_at < 60 && credible_errors(m) > 0;
 }
 
 static bool array_has(const GArray *a, const void *item, guint size) {
--- /dev/null
+++ b/tests/fakes.c
@@ -0,0 +1,391 @@
+#include "fakes.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct fx_value {
+    void *data;
+    size_t len;
+    uint64_t mark;
+};
+
+struct fx_change {
+    char *key;
+    void *data; /* NULL: deleted */
+    size_t len;
+    uint64_t mark;
+};
+
+static void value_free(gpointer p) {
+    struct fx_value *v = p;
+    g_free(v->data);
+    g_free(v);
+}
+
+static void change_free(gpointer p) {
+    struct fx_change *c = p;
+    g_free(c->key);
+    g_free(c->data);
+    g_free(c);
+}
+
+fx_store *fx_store_create(void) {
+    fx_store *s = g_new0(fx_store, 1);
+    s->kv = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, value_free);
+    s->log = g_ptr_array_new_with_free_func(change_free);
+    return s;
+}
+
+void fx_store_destroy(fx_store *s) {
+    g_hash_table_destroy(s->kv);
+    g_ptr_array_free(s->log, TRUE);
+    g_free(s);
+}
+
+uint64_t fx_mark(const fx_store *s, const char *key) {
+    const struct fx_value *v = g_hash_table_lookup(s->kv, key);
+    return v ? v->mark : 0;
+}
+
+unsigned fx_count(const fx_store *s, const char *prefix) {
+    GHashTableIter it;
+    gpointer k;
+    unsigned n = 0;
+    g_hash_table_iter_init(&it, s->kv);
+    while (g_hash_table_iter_next(&it, &k, NULL)) {
+        n += g_str_has_prefix(k, prefix);
+    }
+    return n;
+}
+
+int fx_commit(fx_store *s, const rr_txn *t) {
+    for (guint i = 0; i < t->guards->len; i++) {
+        const rr_guard *g = &g_array_index(t->guards, rr_guard, i);
+        if (fx_mark(s, g->key) != g->mark) {
+            return -EAGAIN;
+        }
+    }
+    s->epoch++;
+    for (guint i = 0; i < t->changes->len; i++) {
+        const rr_change *c = &g_array_index(t->changes, rr_change, i);
+        struct fx_change *log = g_new0(struct fx_change, 1);
+        log->key = g_strdup(c->key);
+        log->mark = s->epoch;
+        if (c->value) {
+            struct fx_value *v = g_new0(struct fx_value, 1);
+            v->data = g_memdup2(c->value, c->len);
+            v->len = log->len = c->len;
+            v->mark = s->epoch;
+            log->data = g_memdup2(c->value, c->len);
+            g_hash_table_replace(s->kv, g_strdup(c->key), v);
+        } else {
+            g_hash_table_remove(s->kv, c->key);
+        }
+        g_ptr_array_add(s->log, log);
+    }
+    return 0;
+}
+
+void fx_sync(fx_store *s, rr_core *c, double now) {
+    uint64_t from = rr_core_epoch(c);
+    if (!rr_core_loaded(c)) {
+        rr_core_mirror_begin(c);
+    }
+    for (guint i = 0; i < s->log->len; i++) {
+        const struct fx_change *ch = g_ptr_array_index(s->log, i);
+        if (ch->mark <= from) {
+            continue;
+        }
+        if (!ch->data) {
+            rr_core_mirror_delete(c, ch->key, ch->mark, now);
+            continue;
+        }
+        rr_doc d;
+        assert_int_equal(rr_doc_parse(&d, ch->data, ch->len), 0);
+        rr_core_mirror_put(c, ch->key, d.root, ch->mark, now);
+        rr_doc_clear(&d);
+    }
+    if (!rr_core_loaded(c)) {
+        rr_core_mirror_end(c, now);
+    }
+    rr_core_set_epoch(c, s->epoch);
+}
+
+static void put(fx_store *s, const char *key, rr_out *o) {
+    rr_txn t;
+    rr_txn_init(&t);
+    rr_txn_put(&t, key, o, 0);
+    assert_int_equal(fx_commit(s, &t), 0);
+    rr_txn_clear(&t);
+}
+
+void fx_config(struct rr_config *c, const char *name) {
+    static const char *const names[] = {"n0", "n1", "n2"};
+    memset(c, 0, sizeof *c);
+    g_strlcpy(c->node_name, name, RR_NAME);
+    g_strlcpy(c->zone, "a", RR_NAME);
+    for (int i = 0; i < 3; i++) {
+        if (strcmp(names[i], name) != 0) {
+            g_strlcpy(c->peers[c->npeers++].name, names[i], RR_NAME);
+        }
+    }
+    c->nteams = 2;
+    g_strlcpy(c->teams[0].name, "red", RR_NAME);
+    g_strlcpy(c->teams[1].name, "blue", RR_NAME);
+    c->nobjectives = 1;
+    g_strlcpy(c->objectives[0].kind, "wait", sizeof c->objectives[0].kind);
+    g_strlcpy(c->objectives[0].lane, "live", RR_NAME);
+    c->objectives[0].within_s = 5;
+    c->report_s = 3;
+    c->lease_s = 30;
+    c->cancel_s = 60;
+    c->state_rps = 100;
+    c->state_write_rps = 50;
+    c->value_kb = 4;
+    c->txn_ops = 8;
+    c->cloud_rps = 5;
+    c->list_lag_s = 5;
+    c->tune = (struct rr_tuning){.round_period_s = 30,
+                                 .round_moves = 4,
+                                 .rounds = true,
+                                 .session_share = 0.6,
+                                 .silent_reports = 2,
+                                 .dead_reports = 3.5,
+                                 .idle_return_s = 20,
+                                 .headroom = 0,
+                                 .boot_patience = 2,
+                                 .cloud_list_s = 4};
+}
+
+void fx_node_init(fx_node *n, fx_store *s, const char *name) {
+    memset(n, 0, sizeof *n);
+    fx_config(&n->cfg, name);
+    n->store = s;
+    n->core = rr_core_create(&n->cfg);
+    n->now = 1000;
+}
+
+void fx_node_clear(fx_node *n) {
+    rr_core_destroy(n->core);
+}
+
+void fx_term(fx_node *n) {
+    rr_txn t;
+    rr_txn_init(&t);
+    fx_sync(n->store, n->core, n->now);
+    if (rr_core_next_term(n->core, n->now, n->now, &t)) {
+        assert_int_equal(fx_commit(n->store, &t), 0);
+    }
+    rr_txn_clear(&t);
+    fx_sync(n->store, n->core, n->now);
+}
+
+static void node_key(const fx_node *n, char *out, size_t size) {
+    g_snprintf(out, size, RR_ROOT "node/%s", n->cfg.node_name);
+}
+
+void fx_join(fx_node *n, uint64_t tether) {
+    char key[RR_NAME + 16];
+    rr_out o;
+    node_key(n, key, sizeof key);
+    rr_out_init(&o);
+    rr_core_node_put(&o, tether);
+    put(n->store, key, &o);
+    rr_core_set_session(n->core, tether, n->now + 1e6);
+    fx_term(n);
+}
+
+void fx_leave(fx_node *n) {
+    char key[RR_NAME + 16];
+    rr_txn t;
+    node_key(n, key, sizeof key);
+    rr_txn_init(&t);
+    rr_txn_delete(&t, key);
+    assert_int_equal(fx_commit(n->store, &t), 0);
+    rr_txn_clear(&t);
+}
+
+void fx_build(fx_store *s, const char *sku, double cpu, double gpu, double mem, double price,
+              double spot) {
+    rr_build b = {.vcpus = cpu, .cards = gpu, .mem_gb = mem, .cache_gb = 100, .pull_rate = 1,
+                  .price = price, .spot_price = spot, .startup_s = 30};
+    char key[128];
+    rr_out o;
+    g_strlcpy(b.sku, sku, sizeof b.sku);
+    b.wards = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(b.wards, g_strdup("a"));
+    g_ptr_array_add(b.wards, g_strdup("b"));
+    rr_out_init(&o);
+    rr_build_encode(&o, &b);
+    g_snprintf(key, sizeof key, RR_ROOT "build/%s", sku);
+    put(s, key, &o);
+    rr_build_clear(&b);
+}
+
+void fx_submission(rr_submission *out, const struct fx_job *j) {
+    static const char *const ranks[] = {"low", "standard", "high", "prod"};
+    memset(out, 0, sizeof *out);
+    g_strlcpy(out->ref, j->ref, sizeof out->ref);
+    g_strlcpy(out->crew, j->crew ? j->crew : "red", sizeof out->crew);
+    g_strlcpy(out->lane, j->lane ? j->lane : "plain", sizeof out->lane);
+    g_strlcpy(out->cast, j->cast ? j->cast : "img-1", sizeof out->cast);
+    g_strlcpy(out->ward, j->ward ? j->ward : "", sizeof out->ward);
+    for (int i = 0; i < 4; i++) {
+        if (strcmp(ranks[i], j->rank ? j->rank : "standard") == 0) {
+            out->rank = (enum rr_rank)i;
+        }
+    }
+    out->shape = j->service ? RR_SERVICE : RR_BATCH;
+    out->pieces = j->pieces ? j->pieces : 1;
+    out->vcpus = j->cpu ? j->cpu : 4;
+    out->cards = j->gpu;
+    out->mem_gb = j->mem ? j->mem : 8;
+    out->one_zone = j->one_zone;
+    out->apart = j->apart;
+    out->loaners = j->loaners;
+    out->cairn_s = j->cairn_s;
+    out->stash_s = j->stash_s;
+    out->due_s = j->due_s > 0 ? j->due_s : -1;
+}
+
+void fx_submit(fx_store *s, const struct fx_job *j, double at) {
+    rr_submission sub;
+    char key[128];
+    rr_out o;
+    fx_submission(&sub, j);
+    rr_out_init(&o);
+    rr_core_job_encode(&o, &sub, at, false);
+    rr_core_job_key(j->ref, key, sizeof key);
+    put(s, key, &o);
+}
+
+void fx_cancel(fx_node *n, const char *ref) {
+    char key[128];
+    uint64_t mark;
+    rr_out o;
+    rr_txn t;
+    rr_out_init(&o);
+    assert_true(rr_core_cancel_record(n->core, ref, &o, &mark));
+    rr_core_job_key(ref, key, sizeof key);
+    rr_txn_init(&t);
+    rr_txn_guard(&t, key, mark);
+    rr_txn_put(&t, key, &o, 0);
+    assert_int_equal(fx_commit(n->store, &t), 0);
+    rr_txn_clear(&t);
+    fx_sync(n->store, n->core, n->now);
+}
+
+void fx_machine(fx_store *s, const char *id, const char *ward, bool loaners, bool own) {
+    char key[128], addr[64];
+    rr_out o;
+    g_snprintf(addr, sizeof addr, "127.0.0.1:%d", 1000 + atoi(id + 3));
+    rr_out_init(&o);
+    rr_put_map(&o, 8);
+    rr_put_key_text(&o, "build", "m1");
+    rr_put_key_text(&o, "ward", ward);
+    rr_put_key_bool(&o, "loaners", loaners);
+    rr_put_key_text(&o, "addr", addr);
+    rr_put_key_bool(&o, "own", own);
+    rr_put_key_bool(&o, "ret", false);
+    rr_put_key_num(&o, "born", 0);
+    rr_put_text(&o, "tasks");
+    rr_put_array(&o, 0);
+    g_snprintf(key, sizeof key, RR_ROOT "machine/%s", id);
+    put(s, key, &o);
+}
+
+static void add_piece(rr_report *r, const char *text) {
+    static const char *const standings[] = {"fetching", "running", "flushing", "ended"};
+    static const char *const causes[] = {"", "done", "halted", "error", "full", "in_use",
+                                         "no_such"};
+    rr_piece p = {0};
+    char **f = g_strsplit(text, " ", 4);
+    char **sc = g_strsplit(f[3], ":", 2);
+    g_strlcpy(p.ref, f[0], sizeof p.ref);
+    p.task = (uint32_t)atoi(f[1]);
+    p.attempt = g_ascii_strtoull(f[2], NULL, 10);
+    for (int i = 0; i < 4; i++) {
+        p.standing = strcmp(standings[i], sc[0]) == 0 ? (enum rr_standing)i : p.standing;
+    }
+    for (int i = 1; sc[1] && i < 7; i++) {
+        p.cause = strcmp(causes[i], sc[1]) == 0 ? (enum rr_cause)i : p.cause;
+    }
+    g_array_append_val(r->pieces, p);
+    g_strfreev(sc);
+    g_strfreev(f);
+}
+
+void fx_report(fx_node *n, const char *id, const char *ward, bool loaners, uint64_t tenure,
+               uint64_t tally, uint64_t warrant, ...) {
+    rr_report r = {.loaners = loaners, .tenure = tenure, .tally = tally, .warrant = warrant,
+                   .recall_s = -1};
+    va_list ap;
+    const char *text;
+    g_strlcpy(r.stone, id, sizeof r.stone);
+    g_snprintf(r.addr, sizeof r.addr, "127.0.0.1:%d", 1000 + atoi(id + 3));
+    g_strlcpy(r.build, "m1", sizeof r.build);
+    g_strlcpy(r.ward, ward, sizeof r.ward);
+    r.pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
+    va_start(ap, warrant);
+    while ((text = va_arg(ap, const char *))) {
+        add_piece(&r, text);
+    }
+    va_end(ap);
+    rr_core_report(n->core, n->now, &r, -1);
+    rr_report_clear(&r);
+}
+
+int fx_plan(fx_node *n, rr_plan *p) {
+    int done = 0;
+    rr_plan_init(p);
+    rr_core_plan(n->core, n->now, n->now, p);
+    if (p->has_txn) {
+        done = fx_commit(n->store, &p->txn) == 0;
+    }
+    fx_sync(n->store, n->core, n->now);
+    return done;
+}
+
+uint64_t fx_booked(const fx_store *s, const char *id, const char *ref, uint32_t task) {
+    char key[128];
+    uint64_t found = 0;
+    g_snprintf(key, sizeof key, RR_ROOT "machine/%s", id);
+    const struct fx_value *v = g_hash_table_lookup(s->kv, key);
+    rr_doc d;
+    if (!v) {
+        return 0;
+    }
+    assert_int_equal(rr_doc_parse(&d, v->data, v->len), 0);
+    const msgpack_object *list = rr_get(d.root, "tasks");
+    for (uint32_t i = 0; i < list->via.array.size; i++) {
+        const msgpack_object *f = list->via.array.ptr[i].via.array.ptr;
+        if (rr_text_is(&f[0], ref) && f[1].via.u64 == task) {
+            found = f[2].via.u64;
+        }
+    }
+    rr_doc_clear(&d);
+    return found;
+}
+
+rr_do *fx_do(const rr_plan *p, const char *id) {
+    for (guint i = 0; i < p->dos->len; i++) {
+        rr_do *d = g_ptr_array_index(p->dos, i);
+        if (strcmp(d->stone, id) == 0) {
+            return d;
+        }
+    }
+    return NULL;
+}
+
+const rr_order *fx_order(const rr_plan *p, const char *id, enum rr_verb verb, const char *ref,
+                         uint32_t task) {
+    const rr_do *d = fx_do(p, id);
+    for (guint i = 0; d && i < d->orders->len; i++) {
+        const rr_order *o = &g_array_index(d->orders, rr_order, i);
+        if (o->verb == verb && o->task == task && strcmp(o->ref, ref) == 0) {
+            return o;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/tests/fakes.h
@@ -0,0 +1,71 @@
+/* Stand-ins for the core's tests: a scripted state service whose changes reach any number of cores,
+ * and short ways to make jobs, machines and reports. Time is a number that the test sets. */
+#ifndef RR_TESTS_FAKES_H
+#define RR_TESTS_FAKES_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "core/core.h"
+
+typedef struct {
+    GHashTable *kv; /* key -> struct fx_value* */
+    GPtrArray *log; /* struct fx_change* */
+    uint64_t epoch;
+} fx_store;
+
+fx_store *fx_store_create(void);
+void fx_store_destroy(fx_store *s);
+/* 0, or -EAGAIN if a guard fails (nothing is changed then). */
+int fx_commit(fx_store *s, const rr_txn *t);
+/* Brings the core's mirror up to now. */
+void fx_sync(fx_store *s, rr_core *c, double now);
+uint64_t fx_mark(const fx_store *s, const char *key); /* 0: no such key */
+unsigned fx_count(const fx_store *s, const char *prefix);
+
+typedef struct {
+    struct rr_config cfg;
+    fx_store *store;
+    rr_core *core;
+    double now;
+} fx_node;
+
+/* Settings with the given teams' gpus_max (0: none), zones a and b. */
+void fx_config(struct rr_config *c, const char *name);
+void fx_node_init(fx_node *n, fx_store *s, const char *name);
+void fx_node_clear(fx_node *n);
+/* Registers a session with this lease and lets the node make the next term. */
+void fx_join(fx_node *n, uint64_t tether);
+void fx_leave(fx_node *n);
+void fx_term(fx_node *n); /* commits the next term if there is one; syncs */
+
+void fx_build(fx_store *s, const char *sku, double cpu, double gpu, double mem, double price,
+              double spot);
+struct fx_job {
+    const char *ref, *crew, *lane, *cast, *ward, *rank;
+    bool service, one_zone, apart, loaners;
+    uint32_t pieces;
+    double cpu, gpu, mem, cairn_s, stash_s, due_s;
+};
+void fx_submission(rr_submission *out, const struct fx_job *j);
+void fx_submit(fx_store *s, const struct fx_job *j, double at);
+void fx_cancel(fx_node *n, const char *ref);
+void fx_machine(fx_store *s, const char *id, const char *ward, bool loaners, bool own);
+
+/* Report builder: tasks as "ref task attempt standing[:cause]", NULL-ended. */
+void fx_report(fx_node *n, const char *id, const char *ward, bool loaners, uint64_t tenure,
+               uint64_t tally, uint64_t warrant, ...);
+/* Plans, commits and syncs once; the commands are in *p until rr_plan_clear(). 1: committed. */
+int fx_plan(fx_node *n, rr_plan *p);
+/* The attempt booked for ref/task on machine id, 0: none. */
+uint64_t fx_booked(const fx_store *s, const char *id, const char *ref, uint32_t task);
+/* The first order of this verb for the task in the plan, or NULL. */
+const rr_order *fx_order(const rr_plan *p, const char *id, enum rr_verb verb, const char *ref,
+                         uint32_t task);
+rr_do *fx_do(const rr_plan *p, const char *id);
+
+#endif
--- /dev/null
+++ b/tests/test_core_rules.c
@@ -0,0 +1,475 @@
+/* The rules that must hold under every failure, each test tied to one way of breaking them. */
+#include "fakes.h"
+
+#include <string.h>
+
+struct two {
+    fx_store *store;
+    fx_node a;
+};
+
+static int setup(void **state) {
+    struct two *w = g_new0(struct two, 1);
+    w->store = fx_store_create();
+    fx_build(w->store, "m1", 16, 4, 64, 10, 4);
+    fx_node_init(&w->a, w->store, "n0");
+    fx_join(&w->a, 7);
+    fx_machine(w->store, "vm-1", "a", false, false);
+    fx_machine(w->store, "vm-2", "b", false, false);
+    fx_sync(w->store, w->a.core, w->a.now);
+    *state = w;
+    return 0;
+}
+
+static int teardown(void **state) {
+    struct two *w = *state;
+    fx_node_clear(&w->a);
+    fx_store_destroy(w->store);
+    g_free(w);
+    return 0;
+}
+
+/* Both machines report empty; the job is booked on one of them, whose id comes back. */
+static const char *book_one(struct two *w, const struct fx_job *j, uint64_t *attempt) {
+    rr_plan p;
+    fx_report(&w->a, "vm-1", "a", false, 1, 1, rr_core_token(w->a.core), NULL);
+    fx_report(&w->a, "vm-2", "b", false, 1, 1, rr_core_token(w->a.core), NULL);
+    fx_submit(w->store, j, w->a.now);
+    fx_sync(w->store, w->a.core, w->a.now);
+    assert_int_equal(fx_plan(&w->a, &p), 1);
+    /* Nothing is started before the booking is recorded. */
+    assert_int_equal(p.dos->len, 0);
+    rr_plan_clear(&p);
+    *attempt = fx_booked(w->store, "vm-1", j->ref, 0);
+    if (*attempt) {
+        return "vm-1";
+    }
+    *attempt = fx_booked(w->store, "vm-2", j->ref, 0);
+    assert_true(*attempt != 0);
+    return "vm-2";
+}
+
+static const char *ward_of(const char *id) {
+    return strcmp(id, "vm-1") == 0 ? "a" : "b";
+}
+
+static char *shown(const char *ref, uint64_t attempt, const char *standing) {
+    return g_strdup_printf("%s 0 %" G_GUINT64_FORMAT " %s", ref, attempt, standing);
+}
+
+/* A start went unanswered: its copy may come minutes late. Absence from a report then proves
+ * nothing; the task is started and stopped under the same token, so that an exited attempt blocks
+ * the late copy, and that attempt is not reaped before the next term. */
+static void late_start_after_reassignment(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000001", .service = true};
+    uint64_t at;
+    rr_plan p;
+    const char *m = book_one(w, &j, &at);
+    fx_plan(n, &p);
+    rr_do *d = fx_do(&p, m);
+    assert_non_null(fx_order(&p, m, RR_START, j.ref, 0));
+    rr_core_do_result(n->core, n->now, d, RR_DO_DOUBT, false);
+    rr_plan_clear(&p);
+    fx_cancel(n, j.ref);
+    n->now += 3;
+    fx_report(n, m, ward_of(m), false, 1, 2, rr_core_token(n->core), NULL);
+    fx_plan(n, &p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == at);
+    const rr_order *start = fx_order(&p, m, RR_START, j.ref, 0);
+    const rr_order *stop = fx_order(&p, m, RR_STOP, j.ref, 0);
+    assert_non_null(start);
+    assert_non_null(stop);
+    assert_true(start < stop);
+    rr_core_do_result(n->core, n->now, fx_do(&p, m), RR_DO_ANSWERED, true);
+    rr_plan_clear(&p);
+    /* Exited now: the booking may go, the attempt must stay as a block. */
+    char *ended = shown(j.ref, at, "ended:halted");
+    n->now += 1;
+    fx_report(n, m, ward_of(m), false, 1, 3, rr_core_token(n->core), ended, NULL);
+    assert_int_equal(fx_plan(n, &p), 1);
+    rr_plan_clear(&p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == 0);
+    fx_plan(n, &p);
+    assert_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    rr_plan_clear(&p);
+    /* The next term voids the late copy: now it is reaped. */
+    fx_join(n, 8);
+    n->now += 1;
+    fx_report(n, m, ward_of(m), false, 1, 4, rr_core_token(n->core), ended, NULL);
+    fx_plan(n, &p);
+    assert_non_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    rr_plan_clear(&p);
+    g_free(ended);
+}
+
+/* A task's completion is recorded, in one transaction with the end of its booking, before the
+ * worker is told to forget it: a crash in between finds it in the report again. */
+static void done_is_recorded_before_reap(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000002"};
+    uint64_t at;
+    rr_plan p;
+    rr_job_view v;
+    const char *m = book_one(w, &j, &at);
+    char *ended = shown(j.ref, at, "ended:done");
+    fx_report(n, m, ward_of(m), false, 1, 2, rr_core_token(n->core), ended, NULL);
+    rr_plan_init(&p);
+    rr_core_plan(n->core, n->now, n->now, &p);
+    assert_true(p.has_txn);
+    assert_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    rr_plan_clear(&p); /* the controller dies here: nothing is lost */
+    rr_core_job_view(n->core, j.ref, &v);
+    assert_false(v.done);
+    assert_int_equal(fx_plan(n, &p), 1);
+    rr_plan_clear(&p);
+    rr_core_job_view(n->core, j.ref, &v);
+    assert_true(v.done);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == 0);
+    fx_plan(n, &p);
+    assert_non_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    rr_plan_clear(&p);
+    g_free(ended);
+}
+
+/* A job of several tasks is not done before its last one. */
+static void not_done_before_all_tasks(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000003", .pieces = 2, .cpu = 1};
+    uint64_t at;
+    rr_plan p;
+    rr_job_view v;
+    const char *m = book_one(w, &j, &at);
+    char *ended = shown(j.ref, at, "ended:done");
+    fx_report(n, m, ward_of(m), false, 1, 2, rr_core_token(n->core), ended, NULL);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    rr_core_job_view(n->core, j.ref, &v);
+    assert_false(v.done);
+    assert_int_equal(v.ndone, 1);
+    g_free(ended);
+}
+
+/* A transaction planned under the old term changes nothing once there is a new one, however late it
+ * is applied. */
+static void old_owner_changes_nothing(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a, b;
+    struct fx_job j = {.ref = "req-000004"};
+    rr_plan p;
+    fx_report(n, "vm-1", "a", false, 1, 1, rr_core_token(n->core), NULL);
+    fx_submit(w->store, &j, n->now);
+    fx_sync(w->store, n->core, n->now);
+    rr_plan_init(&p);
+    rr_core_plan(n->core, n->now, n->now, &p);
+    assert_true(p.has_txn);
+    fx_node_init(&b, w->store, "n1");
+    fx_sync(w->store, b.core, b.now);
+    fx_join(&b, 9);
+    assert_true(fx_commit(w->store, &p.txn) != 0);
+    assert_true(fx_booked(w->store, "vm-1", j.ref, 0) == 0);
+    rr_plan_clear(&p);
+    fx_node_clear(&b);
+}
+
+/* Commands were in flight when the term changed. The new owner takes no absence as proof until the
+ * worker has shown the new token, since only that voids them. */
+static void term_change_with_commands_in_flight(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000005", .service = true};
+    uint64_t at, old = rr_core_token(n->core);
+    rr_plan p;
+    const char *m = book_one(w, &j, &at);
+    fx_plan(n, &p); /* the start is on its way */
+    rr_core_do_result(n->core, n->now, fx_do(&p, m), RR_DO_DOUBT, false);
+    rr_plan_clear(&p);
+    fx_join(n, 8); /* a new incarnation, a new term */
+    assert_true(rr_core_token(n->core) > old);
+    fx_cancel(n, j.ref);
+    n->now += 2;
+    fx_report(n, m, ward_of(m), false, 1, 2, old, NULL);
+    fx_plan(n, &p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == at);
+    rr_plan_clear(&p);
+    fx_report(n, m, ward_of(m), false, 1, 3, rr_core_token(n->core), NULL);
+    fx_plan(n, &p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == 0);
+    rr_plan_clear(&p);
+}
+
+/* A machine that only fell silent keeps its tasks in the ledger; they are placed anew once its
+ * record is gone. */
+static void silence_proves_nothing(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000006", .service = true};
+    uint64_t at;
+    rr_plan p;
+    const char *m = book_one(w, &j, &at), *other = strcmp(m, "vm-1") == 0 ? "vm-2" : "vm-1";
+    n->now += 600;
+    fx_report(n, other, ward_of(other), false, 1, 2, rr_core_token(n->core), NULL);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == at);
+    assert_true(fx_booked(w->store, other, j.ref, 0) == 0);
+    char key[64];
+    rr_txn t;
+    rr_txn_init(&t);
+    g_snprintf(key, sizeof key, RR_ROOT "machine/%s", m);
+    rr_txn_delete(&t, key);
+    assert_int_equal(fx_commit(w->store, &t), 0);
+    rr_txn_clear(&t);
+    fx_sync(w->store, n->core, n->now);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(fx_booked(w->store, other, j.ref, 0) > at);
+}
+
+/* A worker whose lease ran out forgot its tasks: the booking of the earlier tenure goes. */
+static void later_tenure_ends_the_booking(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000007", .service = true};
+    uint64_t at;
+    rr_plan p;
+    const char *m = book_one(w, &j, &at);
+    n->now += 40;
+    fx_report(n, m, ward_of(m), false, 2, 9, rr_core_token(n->core), NULL);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) != at);
+}
+
+/* A report that was held up on the way is older than what is known and proves nothing. */
+static void late_report_is_dropped(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000008", .service = true};
+    uint64_t at;
+    rr_plan p;
+    const char *m = book_one(w, &j, &at);
+    char *running = shown(j.ref, at, "running");
+    fx_report(n, m, ward_of(m), false, 1, 20, rr_core_token(n->core), running, NULL);
+    fx_cancel(n, j.ref);
+    fx_report(n, m, ward_of(m), false, 1, 5, rr_core_token(n->core), NULL);
+    fx_plan(n, &p);
+    assert_true(fx_booked(w->store, m, j.ref, 0) == at);
+    assert_non_null(fx_order(&p, m, RR_STOP, j.ref, 0));
+    rr_plan_clear(&p);
+    g_free(running);
+}
+
+/* Cancelled with its start in flight: no new start, and the booking stands until the answer. */
+static void cancel_with_start_in_flight(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000009", .service = true};
+    uint64_t at;
+    rr_plan p, q;
+    const char *m = book_one(w, &j, &at);
+    fx_plan(n, &p);
+    assert_non_null(fx_order(&p, m, RR_START, j.ref, 0));
+    fx_cancel(n, j.ref);
+    n->now += 2;
+    fx_report(n, m, ward_of(m), false, 1, 2, rr_core_token(n->core), NULL);
+    fx_plan(n, &q);
+    assert_null(fx_do(&q, m));
+    assert_true(fx_booked(w->store, m, j.ref, 0) == at);
+    rr_plan_clear(&q);
+    char *running = shown(j.ref, at, "running");
+    fx_report(n, m, ward_of(m), false, 1, 3, rr_core_token(n->core), running, NULL);
+    rr_core_do_result(n->core, n->now, fx_do(&p, m), RR_DO_ANSWERED, true);
+    fx_plan(n, &q);
+    const rr_order *stop = fx_order(&q, m, RR_STOP, j.ref, 0);
+    assert_non_null(stop);
+    assert_true(stop->leave_s == 0);
+    rr_plan_clear(&p);
+    rr_plan_clear(&q);
+    g_free(running);
+}
+
+/* Any controller that is asked adds the stops of cancelled jobs to its answer. */
+static void every_answer_stops_cancelled_tasks(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000010", .service = true};
+    uint64_t at;
+    book_one(w, &j, &at);
+    fx_cancel(n, j.ref);
+    rr_report r = {.tenure = 1, .tally = 3, .warrant = rr_core_token(n->core), .recall_s = -1};
+    rr_piece piece = {.attempt = at, .standing = RR_RUNNING};
+    struct rr_answer ans;
+    g_strlcpy(piece.ref, j.ref, sizeof piece.ref);
+    r.pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
+    g_array_append_val(r.pieces, piece);
+    rr_core_answer(n->core, n->now, &r, &ans);
+    assert_int_equal(ans.status, 200);
+    assert_int_equal(ans.orders->len, 1);
+    assert_int_equal(g_array_index(ans.orders, rr_order, 0).verb, RR_STOP);
+    g_array_free(ans.orders, TRUE);
+    rr_report_clear(&r);
+}
+
+/* A 200 with a lower token would be dropped by the worker, which would then stay here until its
+ * lease runs out; and a node whose session has lapsed may not answer at all. */
+static void no_answer_that_would_be_dropped(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    rr_report r = {.tenure = 1, .tally = 3, .recall_s = -1};
+    struct rr_answer ans;
+    r.pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
+    r.warrant = rr_core_token(n->core) + 1;
+    rr_core_answer(n->core, n->now, &r, &ans);
+    assert_true(ans.status == 421 || ans.status == 503);
+    assert_null(ans.orders);
+    r.warrant = 0;
+    rr_core_set_session(n->core, 7, n->now - 0.1);
+    rr_core_answer(n->core, n->now, &r, &ans);
+    assert_true(ans.status == 421 || ans.status == 503);
+    assert_false(rr_core_entitled(n->core, n->now));
+    rr_report_clear(&r);
+}
+
+/* The limit holds across a change of owner: what the old owner booked counts, proven gone or not. */
+static void quota_across_an_owner_change(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000011", .pieces = 3, .cpu = 1, .gpu = 1};
+    uint64_t at;
+    rr_plan p;
+    n->cfg.teams[0].gpus_max = 2;
+    book_one(w, &j, &at);
+    unsigned booked = 0;
+    for (uint32_t t = 0; t < 3; t++) {
+        booked += fx_booked(w->store, "vm-1", j.ref, t) != 0;
+        booked += fx_booked(w->store, "vm-2", j.ref, t) != 0;
+    }
+    assert_int_equal(booked, 2);
+    fx_join(n, 8);
+    fx_report(n, "vm-1", "a", false, 1, 5, 1, NULL);
+    fx_report(n, "vm-2", "b", false, 1, 5, 1, NULL);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    for (uint32_t t = 0; t < 3; t++) {
+        booked -= fx_booked(w->store, "vm-1", j.ref, t) != 0;
+        booked -= fx_booked(w->store, "vm-2", j.ref, t) != 0;
+    }
+    assert_int_equal(booked, 0);
+}
+
+/* Two owners can't both book the last room: the machine's record is guarded by its mark. */
+static void two_owners_one_room(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a, b;
+    struct fx_job j1 = {.ref = "req-000012", .crew = "red", .cpu = 16};
+    struct fx_job j2 = {.ref = "req-000013", .crew = "blue", .cpu = 16};
+    rr_plan p[2];
+    int committed = 0, planned = 0;
+    rr_txn t;
+    rr_txn_init(&t);
+    rr_txn_delete(&t, RR_ROOT "machine/vm-2");
+    fx_commit(w->store, &t);
+    rr_txn_clear(&t);
+    fx_node_init(&b, w->store, "n1");
+    fx_sync(w->store, b.core, b.now);
+    fx_join(&b, 9);
+    fx_term(n);
+    fx_submit(w->store, &j1, n->now);
+    fx_submit(w->store, &j2, n->now);
+    fx_node *nodes[2] = {n, &b};
+    for (int i = 0; i < 2; i++) {
+        fx_sync(w->store, nodes[i]->core, nodes[i]->now);
+        fx_report(nodes[i], "vm-1", "a", false, 1, 1, 1, NULL);
+        rr_plan_init(&p[i]);
+        rr_core_plan(nodes[i]->core, nodes[i]->now, nodes[i]->now, &p[i]);
+    }
+    for (int i = 0; i < 2; i++) {
+        planned += p[i].has_txn;
+        committed += p[i].has_txn && fx_commit(w->store, &p[i].txn) == 0;
+        rr_plan_clear(&p[i]);
+    }
+    assert_true(planned >= 1);
+    assert_int_equal(committed, 1);
+    fx_node_clear(&b);
+}
+
+/* A placement guards its job too: a cancellation committed in between voids it. */
+static void cancel_voids_a_planned_start(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000014"};
+    rr_plan p;
+    fx_report(n, "vm-1", "a", false, 1, 1, rr_core_token(n->core), NULL);
+    fx_submit(w->store, &j, n->now);
+    fx_sync(w->store, n->core, n->now);
+    rr_plan_init(&p);
+    rr_core_plan(n->core, n->now, n->now, &p);
+    assert_true(p.has_txn);
+    fx_cancel(n, j.ref);
+    assert_true(fx_commit(w->store, &p.txn) != 0);
+    rr_plan_clear(&p);
+}
+
+/* A known job is known, whatever a repeat of it says; unknown crews and sizes are refused. */
+static void admission(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    struct fx_job j = {.ref = "req-000015"};
+    rr_submission s;
+    const char *why = NULL;
+    fx_submission(&s, &j);
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_OK);
+    s.vcpus = 17;
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_NEVER);
+    g_strlcpy(s.crew, "nobody", sizeof s.crew);
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_NEVER);
+    fx_submit(w->store, &j, n->now);
+    fx_sync(w->store, n->core, n->now);
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_KNOWN);
+    fx_submission(&s, &(struct fx_job){.ref = "req-000016", .service = true, .pieces = 3, .gpu = 1});
+    n->cfg.teams[0].gpus_max = 2;
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_NEVER);
+    s.shape = RR_BATCH;
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_OK);
+}
+
+/* A restarted controller of the same name is not the one the term names. */
+static void a_new_incarnation_waits_for_its_term(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a, again;
+    fx_node_init(&again, w->store, "n0");
+    fx_sync(w->store, again.core, again.now);
+    rr_core_set_session(again.core, 77, again.now + 100);
+    assert_false(rr_core_entitled(again.core, again.now));
+    fx_join(&again, 77);
+    assert_true(rr_core_entitled(again.core, again.now));
+    fx_sync(w->store, n->core, n->now);
+    assert_false(rr_core_entitled(n->core, n->now));
+    fx_node_clear(&again);
+}
+
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int main(void) {
+    const struct CMUnitTest tests[] = {T(late_start_after_reassignment),
+                                       T(done_is_recorded_before_reap),
+                                       T(not_done_before_all_tasks),
+                                       T(old_owner_changes_nothing),
+                                       T(term_change_with_commands_in_flight),
+                                       T(silence_proves_nothing),
+                                       T(later_tenure_ends_the_booking),
+                                       T(late_report_is_dropped),
+                                       T(cancel_with_start_in_flight),
+                                       T(every_answer_stops_cancelled_tasks),
+                                       T(no_answer_that_would_be_dropped),
+                                       T(quota_across_an_owner_change),
+                                       T(two_owners_one_room),
+                                       T(cancel_voids_a_planned_start),
+                                       T(admission),
+                                       T(a_new_incarnation_waits_for_its_term)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_core_steward.c
@@ -0,0 +1,307 @@
+/* Renting and returning: nothing rented twice, nothing lost, nobody judged by silence alone. */
+#include "fakes.h"
+
+#include <string.h>
+
+struct world {
+    fx_store *store;
+    fx_node n;
+};
+
+static int setup(void **state) {
+    struct world *w = g_new0(struct world, 1);
+    w->store = fx_store_create();
+    fx_build(w->store, "m1", 16, 4, 64, 10, 4);
+    fx_node_init(&w->n, w->store, "n0");
+    fx_join(&w->n, 7);
+    *state = w;
+    return 0;
+}
+
+static int teardown(void **state) {
+    struct world *w = *state;
+    fx_node_clear(&w->n);
+    fx_store_destroy(w->store);
+    g_free(w);
+    return 0;
+}
+
+/* Runs steps until one of this kind comes; transactions are committed, lists and the catalogue
+ * answered with what is given. */
+static bool step_until(struct world *w, enum rr_step_kind kind, const GArray *stones, rr_step *out) {
+    fx_node *n = &w->n;
+    GArray *none = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    GArray *builds = g_array_new(FALSE, FALSE, sizeof(rr_build));
+    bool found = false;
+    rr_step_init(out);
+    for (int i = 0; i < 60 && !found; i++) {
+        rr_core_steward_step(n->core, n->now, n->now, out);
+        found = out->kind == kind;
+        if (found) {
+            break;
+        }
+        if (out->kind == RR_STEP_TXN) {
+            fx_commit(w->store, &out->txn);
+            fx_sync(w->store, n->core, n->now);
+        } else if (out->kind == RR_STEP_LIST) {
+            rr_core_listed(n->core, n->now, n->now, n->now, stones ? stones : none);
+        } else if (out->kind == RR_STEP_CATALOG) {
+            rr_core_catalog(n->core, n->now, builds);
+        } else if (out->kind == RR_STEP_PROBE) {
+            rr_core_probe_failed(n->core, n->now, out->stone, 0);
+        } else if (out->kind == RR_STEP_NONE && kind == RR_STEP_RELEASE) {
+            break; /* nothing more to do at this time */
+        } else if (out->kind == RR_STEP_NONE) {
+            n->now += 1;
+        }
+        rr_step_clear(out);
+        rr_step_init(out);
+    }
+    g_array_free(none, TRUE);
+    g_array_free(builds, TRUE);
+    return found;
+}
+
+static void add_stone(GArray *a, const char *id, enum rr_stone_state st, double age) {
+    rr_stone s = {.state = st, .age_s = age};
+    g_strlcpy(s.id, id, sizeof s.id);
+    g_strlcpy(s.build, "m1", sizeof s.build);
+    g_strlcpy(s.ward, "a", sizeof s.ward);
+    g_strlcpy(s.addr, "127.0.0.1:1", sizeof s.addr);
+    g_array_append_val(a, s);
+}
+
+/* The intent is written before the cloud is called, and a new steward repeats it under the same
+ * name: the cloud then answers as before and rents nothing. */
+static void a_rental_is_repeated_under_its_name(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n, b;
+    rr_step s;
+    char first[RR_ID];
+    fx_submit(w->store, &(struct fx_job){.ref = "req-1"}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    assert_true(step_until(w, RR_STEP_HIRE, NULL, &s));
+    assert_int_equal(fx_count(w->store, RR_ROOT "hire/"), 1);
+    g_strlcpy(first, s.hire, sizeof first);
+    rr_step_clear(&s); /* the answer never comes: this controller dies */
+    fx_leave(n);
+    fx_node_init(&b, w->store, "n0");
+    b.now = n->now;
+    fx_sync(w->store, b.core, b.now);
+    fx_join(&b, 8);
+    struct world w2 = {w->store, b};
+    assert_true(step_until(&w2, RR_STEP_HIRE, NULL, &s));
+    assert_string_equal(s.hire, first);
+    GPtrArray *ids = g_ptr_array_new();
+    g_ptr_array_add(ids, "vm-9");
+    rr_core_hired(w2.n.core, w2.n.now, &s, 200, ids);
+    rr_step_clear(&s);
+    for (int i = 0; i < 4; i++) {
+        step_until(&w2, RR_STEP_NONE, NULL, &s);
+        rr_step_clear(&s);
+    }
+    assert_true(fx_mark(w->store, RR_ROOT "machine/vm-9") != 0);
+    assert_int_equal(fx_count(w->store, RR_ROOT "hire/"), 0);
+    g_ptr_array_free(ids, TRUE);
+    fx_node_clear(&w2.n);
+}
+
+/* No two requests ever share a name. */
+static void names_are_not_reused(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    char first[RR_ID];
+    GPtrArray *none = g_ptr_array_new();
+    fx_submit(w->store, &(struct fx_job){.ref = "req-1"}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    assert_true(step_until(w, RR_STEP_HIRE, NULL, &s));
+    g_strlcpy(first, s.hire, sizeof first);
+    rr_core_hired(n->core, n->now, &s, 503, none);
+    rr_step_clear(&s);
+    assert_true(step_until(w, RR_STEP_HIRE, NULL, &s));
+    assert_string_not_equal(s.hire, first);
+    /* And the refused zone is left alone for a while. */
+    assert_string_equal(s.ward, "b");
+    rr_step_clear(&s);
+    g_ptr_array_free(none, TRUE);
+}
+
+/* Machines up before the first term are the operators' own and stay; others are adopted as rented
+ * and go back when idle. */
+static void adoption_and_idle_return(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    add_stone(stones, "vm-1", RR_STONE_RUNNING, 500);
+    n->now += 30;
+    add_stone(stones, "vm-2", RR_STONE_RUNNING, 10);
+    assert_true(step_until(w, RR_STEP_NONE, stones, &s));
+    rr_step_clear(&s);
+    assert_true(fx_mark(w->store, RR_ROOT "machine/vm-1") != 0);
+    assert_true(fx_mark(w->store, RR_ROOT "machine/vm-2") != 0);
+    bool asked = false;
+    for (uint64_t i = 0; i < 60 && !asked; i++) {
+        n->now += 2;
+        fx_report(n, "vm-1", "a", false, 1, i + 1, 1, NULL);
+        fx_report(n, "vm-2", "a", false, 1, i + 1, 1, NULL);
+        asked = step_until(w, RR_STEP_RELEASE, stones, &s);
+        if (asked) {
+            assert_int_equal(s.stones->len, 1);
+            assert_string_equal(s.stones->pdata[0], "vm-2");
+        }
+        rr_step_clear(&s);
+    }
+    assert_true(asked);
+    g_array_free(stones, TRUE);
+}
+
+/* While a whole zone is silent nothing in it is given up; a lone silent machine is, once probes
+ * failed, and its tasks are free only after the release is answered. */
+static void a_cut_zone_is_left_a_dead_machine_is_not(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    const char *ids[] = {"vm-1", "vm-2", "vm-3"};
+    for (int i = 0; i < 3; i++) {
+        fx_machine(w->store, ids[i], "a", false, true);
+        add_stone(stones, ids[i], RR_STONE_RUNNING, 100);
+    }
+    fx_sync(w->store, n->core, n->now);
+    for (int i = 0; i < 3; i++) {
+        fx_report(n, ids[i], "a", false, 1, 1, 1, NULL);
+    }
+    for (int i = 0; i < 20; i++) {
+        n->now += 2;
+        assert_false(step_until(w, RR_STEP_RELEASE, stones, &s));
+        rr_step_clear(&s);
+    }
+    bool asked = false;
+    for (uint64_t i = 2; i < 60 && !asked; i++) {
+        n->now += 1;
+        fx_report(n, "vm-1", "a", false, 1, i, 1, NULL);
+        fx_report(n, "vm-2", "a", false, 1, i, 1, NULL);
+        rr_step_init(&s);
+        rr_core_steward_step(n->core, n->now, n->now, &s);
+        if (s.kind == RR_STEP_TXN) {
+            fx_commit(w->store, &s.txn);
+            fx_sync(w->store, n->core, n->now);
+        } else if (s.kind == RR_STEP_PROBE) {
+            rr_core_probe_failed(n->core, n->now, s.stone, 0);
+        } else if (s.kind == RR_STEP_LIST) {
+            rr_core_listed(n->core, n->now, n->now, n->now, stones);
+        } else if (s.kind == RR_STEP_RELEASE) {
+            asked = true;
+            assert_int_equal(s.stones->len, 1);
+            assert_string_equal(s.stones->pdata[0], "vm-3");
+            assert_true(fx_mark(w->store, RR_ROOT "machine/vm-3") != 0);
+        }
+        rr_step_clear(&s);
+    }
+    assert_true(asked);
+    g_array_free(stones, TRUE);
+}
+
+/* A young machine missing from a lagging list is not gone; one that was listed and is missing for
+ * more than twice the lag is. */
+static void missing_from_a_late_list(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    GArray *none = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    GArray *one = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    add_stone(one, "vm-1", RR_STONE_RUNNING, 3);
+    fx_machine(w->store, "vm-1", "a", false, false);
+    fx_sync(w->store, n->core, n->now);
+    /* The first step makes it steward. */
+    rr_step_init(&s);
+    rr_core_steward_step(n->core, n->now, n->now, &s);
+    rr_step_clear(&s);
+    n->now += 3;
+    rr_core_listed(n->core, n->now, n->now, n->now, none);
+    step_until(w, RR_STEP_NONE, none, &s);
+    rr_step_clear(&s);
+    assert_true(fx_mark(w->store, RR_ROOT "machine/vm-1") != 0);
+    rr_core_listed(n->core, n->now, n->now, n->now, one);
+    rr_core_listed(n->core, n->now + 9, n->now + 9, n->now + 9, none);
+    n->now += 9;
+    step_until(w, RR_STEP_NONE, one, &s);
+    rr_step_clear(&s);
+    assert_true(fx_mark(w->store, RR_ROOT "machine/vm-1") != 0);
+    n->now += 5;
+    rr_core_listed(n->core, n->now, n->now, n->now, none);
+    step_until(w, RR_STEP_NONE, none, &s);
+    rr_step_clear(&s);
+    assert_true(fx_mark(w->store, RR_ROOT "machine/vm-1") == 0);
+    g_array_free(none, TRUE);
+    g_array_free(one, TRUE);
+}
+
+/* The catalogue is written until the mirror shows it, whatever becomes of one transaction. */
+static void catalogue_survives_a_lost_transaction(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    GArray *builds = g_array_new(FALSE, TRUE, sizeof(rr_build));
+    rr_build b = {.sku = "m2", .vcpus = 8, .cards = 1, .mem_gb = 32, .price = 3, .spot_price = 1,
+                  .startup_s = 20};
+    b.wards = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(b.wards, g_strdup("a"));
+    g_array_append_val(builds, b);
+    assert_true(step_until(w, RR_STEP_CATALOG, NULL, &s));
+    rr_step_clear(&s);
+    rr_core_catalog(n->core, n->now, builds);
+    rr_step_init(&s);
+    rr_core_steward_step(n->core, n->now, n->now, &s);
+    assert_int_equal(s.kind, RR_STEP_TXN);
+    rr_step_clear(&s); /* voided by a change of term, say */
+    step_until(w, RR_STEP_NONE, NULL, &s);
+    rr_step_clear(&s);
+    assert_true(fx_mark(w->store, RR_ROOT "build/m2") != 0);
+    rr_build_clear(&b);
+    g_array_free(builds, TRUE);
+}
+
+/* Two jobs failing on one machine: its fault. One job failing on many machines: the job's. */
+static void sick_machine_or_bad_job(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    const char *ids[] = {"vm-1", "vm-2", "vm-3", "vm-4"};
+    for (int i = 0; i < 4; i++) {
+        fx_machine(w->store, ids[i], "a", false, true);
+    }
+    fx_submit(w->store, &(struct fx_job){.ref = "req-1"}, n->now);
+    fx_submit(w->store, &(struct fx_job){.ref = "req-2"}, n->now);
+    fx_submit(w->store, &(struct fx_job){.ref = "req-3", .cpu = 16}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    /* req-1 fails everywhere, req-2 on vm-1 only. */
+    for (int i = 0; i < 4; i++) {
+        fx_report(n, ids[i], "a", false, 1, 1, 1, "req-1 0 5 ended:error",
+                  i == 0 ? "req-2 0 6 ended:error" : NULL, NULL);
+    }
+    n->now += 1;
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    /* req-1 is held back; req-3 finds a machine: the other three are not blamed for req-1. */
+    assert_true(fx_booked(w->store, "vm-2", "req-3", 0) || fx_booked(w->store, "vm-3", "req-3", 0) ||
+                fx_booked(w->store, "vm-4", "req-3", 0));
+    for (int i = 0; i < 4; i++) {
+        assert_true(fx_booked(w->store, ids[i], "req-1", 0) == 0);
+    }
+}
+
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int main(void) {
+    const struct CMUnitTest tests[] = {T(a_rental_is_repeated_under_its_name),
+                                       T(names_are_not_reused),
+                                       T(adoption_and_idle_return),
+                                       T(a_cut_zone_is_left_a_dead_machine_is_not),
+                                       T(missing_from_a_late_list),
+                                       T(catalogue_survives_a_lost_transaction),
+                                       T(sick_machine_or_bad_job)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,253 @@
+/* Messages from outside: limits, validation, and a bounded run of random bytes. */
+#include "fakes.h"
+
+#include <errno.h>
+#include <math.h>
+#include <string.h>
+
+static int parse(const void *data, size_t len) {
+    rr_doc d;
+    int rc = rr_doc_parse(&d, data, len);
+    rr_doc_clear(&d);
+    return rc;
+}
+
+/* Five bytes that declare four billion elements must not make libmsgpack allocate them. */
+static void huge_lengths_cost_nothing(void **state) {
+    (void)state;
+    static const uint8_t heads[][5] = {{0xdd, 0xff, 0xff, 0xff, 0xff}, {0xdf, 0xff, 0xff, 0xff, 0xff},
+                                       {0xdb, 0xff, 0xff, 0xff, 0xff}, {0xc6, 0xff, 0xff, 0xff, 0xff},
+                                       {0xc9, 0xff, 0xff, 0xff, 0xff}};
+    for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++) {
+        assert_int_equal(parse(heads[i], 5), -EBADMSG);
+    }
+}
+
+static void deep_nesting_is_refused(void **state) {
+    (void)state;
+    uint8_t deep[RR_BODY_MAX];
+    memset(deep, 0x91, sizeof deep);
+    assert_int_equal(parse(deep, sizeof deep), -EBADMSG);
+    uint8_t fine[] = {0x91, 0x91, 0x91, 0x01};
+    assert_int_equal(parse(fine, sizeof fine), 0);
+}
+
+static void one_whole_value_only(void **state) {
+    (void)state;
+    uint8_t two[] = {0x01, 0x02}, cut[] = {0x92, 0x01};
+    assert_int_equal(parse(two, 2), -EBADMSG);
+    assert_int_equal(parse(cut, 2), -EBADMSG);
+    assert_int_equal(parse("", 0), -EBADMSG);
+}
+
+static void encode_job(rr_out *o) {
+    rr_submission s;
+    fx_submission(&s, &(struct fx_job){.ref = "req-000001", .due_s = 90, .ward = "a"});
+    rr_out_init(o);
+    rr_put_map(o, rr_submission_field_count(&s));
+    rr_submission_encode_fields(o, &s);
+}
+
+static void submission_round_trip(void **state) {
+    (void)state;
+    rr_out o;
+    rr_doc d;
+    rr_submission s;
+    const char *field = NULL;
+    encode_job(&o);
+    assert_int_equal(rr_doc_parse(&d, o.buf.data, o.buf.size), 0);
+    assert_int_equal(rr_submission_decode(d.root, &s, &field), 0);
+    assert_string_equal(s.ref, "req-000001");
+    assert_true(s.due_s == 90);
+    assert_string_equal(s.ward, "a");
+    rr_doc_clear(&d);
+    rr_out_clear(&o);
+}
+
+/* Encodes a submission by hand with one field replaced, and expects it to be refused there. */
+enum kind { MISSING, NIL, TEXT, NEGATIVE, NOT_FINITE, INTEGER, TOO_MANY };
+
+static void put_odd(rr_out *o, enum kind kind) {
+    switch (kind) {
+    case NIL:
+        msgpack_pack_nil(&o->pk);
+        break;
+    case TEXT:
+        rr_put_text(o, "what");
+        break;
+    case NEGATIVE:
+        rr_put_num(o, -1);
+        break;
+    case NOT_FINITE:
+        rr_put_num(o, INFINITY);
+        break;
+    case INTEGER:
+        rr_put_u64(o, 4);
+        break;
+    default:
+        rr_put_u64(o, 100001);
+    }
+}
+
+static int decode_with(const char *name, enum kind kind, const char **field) {
+    rr_out o, odd;
+    rr_doc d, whole;
+    rr_submission s;
+    encode_job(&o);
+    assert_int_equal(rr_doc_parse(&whole, o.buf.data, o.buf.size), 0);
+    const msgpack_object_map *m = &whole.root->via.map;
+    rr_out_init(&odd);
+    rr_put_map(&odd, kind == MISSING ? m->size - 1 : m->size);
+    for (uint32_t i = 0; i < m->size; i++) {
+        bool hit = rr_text_is(&m->ptr[i].key, name);
+        if (hit && kind == MISSING) {
+            continue;
+        }
+        msgpack_pack_object(&odd.pk, m->ptr[i].key);
+        if (hit) {
+            put_odd(&odd, kind);
+        } else {
+            msgpack_pack_object(&odd.pk, m->ptr[i].val);
+        }
+    }
+    assert_int_equal(rr_doc_parse(&d, odd.buf.data, odd.buf.size), 0);
+    int rc = rr_submission_decode(d.root, &s, field);
+    rr_doc_clear(&d);
+    rr_doc_clear(&whole);
+    rr_out_clear(&o);
+    rr_out_clear(&odd);
+    return rc;
+}
+
+static void bad_fields_are_named(void **state) {
+    (void)state;
+    static const char *const needed[] = {"ref", "lane", "crew", "shape", "rank", "pieces", "vcpus",
+                                         "cards", "mem_gb", "cast", "pull_gb", "one_zone", "apart",
+                                         "loaners", "guess_s", "cairn_s", "stash_s"};
+    static const char *const amounts[] = {"vcpus", "cards", "mem_gb", "pull_gb", "guess_s", "due_s"};
+    const char *field;
+    for (size_t i = 0; i < G_N_ELEMENTS(needed); i++) {
+        assert_int_equal(decode_with(needed[i], MISSING, &field), -EINVAL);
+        assert_string_equal(field, needed[i]);
+        assert_int_equal(decode_with(needed[i], NIL, &field), -EINVAL);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(amounts); i++) {
+        assert_int_equal(decode_with(amounts[i], TEXT, &field), -EINVAL);
+        assert_int_equal(decode_with(amounts[i], NEGATIVE, &field), -EINVAL);
+        assert_int_equal(decode_with(amounts[i], NOT_FINITE, &field), -EINVAL);
+        assert_int_equal(decode_with(amounts[i], INTEGER, &field), 0);
+    }
+    assert_int_equal(decode_with("pieces", TOO_MANY, &field), -EINVAL);
+    assert_int_equal(decode_with("shape", TEXT, &field), -EINVAL);
+    assert_int_equal(decode_with("rank", TEXT, &field), -EINVAL);
+    assert_int_equal(decode_with("ref", TEXT, &field), -EINVAL);
+    /* What may be null may be missing, too. */
+    assert_int_equal(decode_with("due_s", MISSING, &field), 0);
+    assert_int_equal(decode_with("due_s", NIL, &field), 0);
+    assert_int_equal(decode_with("ward", NIL, &field), 0);
+}
+
+static void ids_have_one_form(void **state) {
+    (void)state;
+    assert_true(rr_ref_valid("req-000412"));
+    assert_false(rr_ref_valid("req-"));
+    assert_false(rr_ref_valid("req-00a"));
+    assert_false(rr_ref_valid("job-000412"));
+    assert_false(rr_ref_valid("req-1/../2"));
+    char ref[RR_ID];
+    uint32_t task;
+    assert_true(rr_piece_parse("req-000412/3", ref, sizeof ref, &task));
+    assert_int_equal(task, 3);
+    assert_false(rr_piece_parse("req-000412/", ref, sizeof ref, &task));
+    assert_false(rr_piece_parse("req-000412/-1", ref, sizeof ref, &task));
+    assert_false(rr_piece_parse("/3", ref, sizeof ref, &task));
+}
+
+/* A task list that can't be read whole proves nothing about what is absent from it. */
+static void a_report_counts_whole_or_not_at_all(void **state) {
+    (void)state;
+    rr_out o;
+    rr_doc d;
+    rr_report r;
+    for (int bad = 0; bad < 2; bad++) {
+        rr_out_init(&o);
+        rr_put_map(&o, 9);
+        rr_put_key_text(&o, "stone", "vm-1");
+        rr_put_key_text(&o, "addr", "10.0.0.1:9000");
+        rr_put_key_text(&o, "build", "m1");
+        rr_put_key_text(&o, "ward", "a");
+        rr_put_key_bool(&o, "loaners", false);
+        rr_put_key_u64(&o, "tenure", 1);
+        rr_put_key_u64(&o, "tally", 2);
+        rr_put_key_u64(&o, "warrant", 3);
+        rr_put_text(&o, "pieces");
+        rr_put_array(&o, 1);
+        rr_put_map(&o, 3);
+        rr_put_key_text(&o, "piece", bad ? "nonsense" : "req-1/0");
+        rr_put_key_u64(&o, "try", 2);
+        rr_put_key_text(&o, "standing", "running");
+        assert_int_equal(rr_doc_parse(&d, o.buf.data, o.buf.size), 0);
+        assert_int_equal(rr_report_decode(d.root, &r), bad ? -EBADMSG : 0);
+        rr_report_clear(&r);
+        rr_doc_clear(&d);
+        rr_out_clear(&o);
+    }
+}
+
+/* Random bytes, and valid messages with random damage, through every decoder: nothing may crash
+ * (the sanitizers watch) and nothing accepted may lie outside its bounds. */
+static void fuzz_decoders(void **state) {
+    (void)state;
+    GRand *rnd = g_rand_new_with_seed(20);
+    uint8_t buf[512];
+    rr_out job;
+    encode_job(&job);
+    for (int i = 0; i < 40000; i++) {
+        size_t n = (size_t)g_rand_int_range(rnd, 1, sizeof buf);
+        if (i % 2) {
+            n = job.buf.size < sizeof buf ? job.buf.size : sizeof buf;
+            memcpy(buf, job.buf.data, n);
+            for (int k = g_rand_int_range(rnd, 1, 6); k > 0; k--) {
+                buf[g_rand_int_range(rnd, 0, (gint)n)] = (uint8_t)g_rand_int(rnd);
+            }
+        } else {
+            for (size_t k = 0; k < n; k++) {
+                buf[k] = (uint8_t)g_rand_int(rnd);
+            }
+            buf[0] = (uint8_t)(0x80 | (buf[0] & 0x0f));
+        }
+        rr_doc d;
+        if (rr_doc_parse(&d, buf, n) == 0) {
+            rr_submission s;
+            rr_report r;
+            rr_build b;
+            rr_stone st;
+            const char *field;
+            if (rr_submission_decode(d.root, &s, &field) == 0) {
+                assert_true(s.pieces >= 1 && s.pieces <= RR_PIECES_MAX);
+                assert_true(s.vcpus >= 0 && isfinite(s.vcpus));
+                assert_true(rr_ref_valid(s.ref));
+            }
+            rr_report_decode(d.root, &r);
+            rr_report_clear(&r);
+            rr_build_decode(d.root, &b);
+            rr_build_clear(&b);
+            rr_stone_decode(d.root, &st);
+        }
+        rr_doc_clear(&d);
+    }
+    rr_out_clear(&job);
+    g_rand_free(rnd);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(huge_lengths_cost_nothing),
+                                       cmocka_unit_test(deep_nesting_is_refused),
+                                       cmocka_unit_test(one_whole_value_only),
+                                       cmocka_unit_test(submission_round_trip),
+                                       cmocka_unit_test(bad_fields_are_named),
+                                       cmocka_unit_test(ids_have_one_form),
+                                       cmocka_unit_test(a_report_counts_whole_or_not_at_all),
+                                       cmocka_unit_test(fuzz_decoders)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
