--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -42,6 +42,30 @@
     return false;
 }
 
+static bool was_running(const rr_machine *m, const rr_piece *p) {
+    for (guint i = 0; m->heard && i < m->rep.pieces->len; i++) {
+        const rr_piece *q = &g_array_index(m->rep.pieces, rr_piece, i);
+        if (q->attempt == p->attempt && q->task == p->task && strcmp(q->ref, p->ref) == 0) {
+            return q->standing != RR_FETCHING;
+        }
+    }
+    return false;
+}
+
+/* For whoever follows a day: when each task runs, and how long after its job came to be known. */
+static void log_starts(rr_core *c, const rr_machine *m, const rr_report *r, double now) {
+    for (guint i = 0; i < r->pieces->len; i++) {
+        const rr_piece *p = &g_array_index(r->pieces, rr_piece, i);
+        const rr_job *j = g_hash_table_lookup(c->jobs, p->ref);
+        if (j && p->standing == RR_RUNNING && j->team >= 0 && rr_owns_team(c, j->team) &&
+            !was_running(m, p)) {
+            rr_log_at(c, RR_LOG_DEBUG, "runs %s/%u (%s) on %s %.1f s after it was known, image %s",
+                      p->ref, p->task, j->s.lane, m->name, now - j->first_seen,
+                      rr_machine_has_cast(m, j->cast) ? "was there" : "was fetched");
+        }
+    }
+}
+
 static void note_failures(rr_core *c, rr_machine *m, const rr_report *r, double now) {
     for (guint i = 0; i < r->pieces->len; i++) {
         const rr_piece *p = &g_array_index(r->pieces, rr_piece, i);
@@ -88,6 +112,7 @@
     }
     g_strlcpy(m->addr, r->addr, sizeof m->addr);
     note_failures(c, m, r, now);
+    log_starts(c, m, r, now);
     rr_report_clear(&m->rep);
     m->rep = *r;
     r->pieces = NULL;
