Starts with an aim: room of lower work on a warm machine before a cold free one

Ruled out: booking and start take 0.1 s. Victims that can't save within the aim stop at once, those with least unsaved work first.

--- a/src/core/model.c
+++ b/src/core/model.c
@@ -459,7 +459,7 @@
 /* One placement: [ref, task, attempt, tenure, evict]. */
 static bool place_decode(rr_core *c, const msgpack_object *o, rr_place *p, double now) {
     char ref[RR_ID];
-    uint64_t task;
+    uint64_t task, evict = RR_KEEP;
     memset(p, 0, sizeof *p);
     if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 5) {
         return false;
@@ -469,7 +469,8 @@
         !rr_as_u64(&f[2], &p->attempt) || !rr_as_u64(&f[3], &p->tenure)) {
         return false;
     }
-    p->evict = f[4].type == MSGPACK_OBJECT_BOOLEAN && f[4].via.boolean;
+    rr_as_u64(&f[4], &evict);
+    p->evict = evict > RR_EVICT_AT_ONCE ? RR_EVICT_SAVING : (int)evict;
     p->job = job_get(c, ref, now);
     p->task = (uint32_t)task;
     p->seen_at = now;
@@ -498,7 +499,7 @@
         rr_put_u64(o, p->task);
         rr_put_u64(o, p->attempt);
         rr_put_u64(o, p->tenure);
-        rr_put_bool(o, p->evict);
+        rr_put_u64(o, (uint64_t)p->evict);
     }
 }
 
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -12,6 +12,9 @@
     double cpu, gpu, mem;
 } rr_res;
 
+/* In the ledger: how a placement is to make room. */
+enum rr_evict { RR_KEEP, RR_EVICT_SAVING, RR_EVICT_AT_ONCE };
+
 typedef struct rr_job rr_job;
 typedef struct rr_machine rr_machine;
 
@@ -20,7 +23,7 @@
     rr_job *job;
     uint32_t task;
     uint64_t attempt, tenure;
-    bool evict; /* to be stopped for work of higher rank, or moved away */
+    int evict; /* enum rr_evict: to be stopped for work of higher rank, or moved away */
     /* volatile */
     double seen_at;  /* when the mirror first showed it */
     double start_at; /* last start sent, 0: none */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -231,6 +231,9 @@
     if (pl->job->cancelled || pl->job->done || pl->job->s.cairn_s <= 0) {
         return 0;
     }
+    if (pl->evict == RR_EVICT_AT_ONCE) {
+        return 0;
+    }
     double leave = pl->job->s.stash_s + 2;
     if (m->rep.recall_s >= 0 && m->rep.recall_s < leave) {
         leave = fmax(m->rep.recall_s, 0);
@@ -409,30 +412,47 @@
     return *task < j->s.pieces;
 }
 
-/* Room for a job of higher rank: which placements of lower rank would have to go from m. */
-static bool victims_on(struct planner *p, rr_machine *m, const rr_job *j, GArray *out,
+/* Work that stopping this placement at once would lose: what it did since it last saved. */
+static double unsaved(const rr_place *q, double now) {
+    double ran = now - q->seen_at;
+    double cairn = q->job->s.cairn_s;
+    return cairn > 0 ? fmod(ran, cairn) : ran;
+}
+
+static gint by_loss(gconstpointer a, gconstpointer b) {
+    const rr_place *x = *(const rr_place *const *)a, *y = *(const rr_place *const *)b;
+    if (x->job->s.rank != y->job->s.rank) {
+        return x->job->s.rank < y->job->s.rank ? -1 : 1;
+    }
+    return x->seen_at > y->seen_at ? -1 : x->seen_at < y->seen_at;
+}
+
+/* Room for a job of higher rank: which placements of lower rank would have to go from m, and what
+ * that loses. */
+static bool victims_on(struct planner *p, rr_machine *m, const rr_job *j, bool at_once, GArray *out,
                        double *loss) {
     rr_res room = m->sim;
     const GArray *places = m->edit ? ((struct edit *)m->edit)->places : m->places;
+    GPtrArray *lower = g_ptr_array_new();
     *loss = 0;
     g_array_set_size(out, 0);
     for (guint i = 0; i < places->len; i++) {
-        const rr_place *q = &g_array_index(places, rr_place, i);
+        rr_place *q = &g_array_index(places, rr_place, i);
         if (q->evict) {
             room = rr_res_add(room, q->job->need, 1);
+        } else if (q->job->s.rank < j->s.rank && q->job->s.shape == RR_BATCH) {
+            g_ptr_array_add(lower, q);
         }
     }
-    for (guint i = 0; i < places->len && !rr_res_fits(j->need, room); i++) {
-        const rr_place *q = &g_array_index(places, rr_place, i);
-        if (q->evict || q->job->s.rank >= j->s.rank || q->job->s.shape == RR_SERVICE) {
-            continue;
-        }
+    g_ptr_array_sort(lower, by_loss);
+    for (guint i = 0; i < lower->len && !rr_res_fits(j->need, room); i++) {
+        const rr_place *q = g_ptr_array_index(lower, i);
+        bool saves = q->job->s.cairn_s > 0 && !at_once;
         room = rr_res_add(room, q->job->need, 1);
-        double ran = p->now - q->seen_at;
-        *loss += q->job->s.cairn_s > 0 ? q->job->s.stash_s + 1 : ran;
-        *loss += q->job->cancelled ? -10 : 0;
+        *loss += 1 + (saves ? q->job->s.stash_s : unsaved(q, p->now));
         g_array_append_val(out, q->attempt);
     }
+    g_ptr_array_free(lower, TRUE);
     return rr_res_fits(j->need, room);
 }
 
@@ -440,9 +460,42 @@
     return j->s.rank > RR_STANDARD && rr_objective_for(c, "wait", j->s.lane);
 }
 
-/* The machine on which least unsaved work is lost; the task is booked there at once and starts when
- * the ledger shows room. */
-static bool preempt_for(struct planner *p, rr_job *j, uint32_t task, const bool *wards) {
+/* Saving takes the victims' stash time; where the aim on the start does not leave it, they stop at
+ * once and lose what they did since their last checkpoint. */
+static bool saving_too_slow(const rr_core *c, const rr_job *j, const rr_place *victim) {
+    const struct rr_objective *o = rr_objective_for(c, "wait", j->s.lane);
+    return o && victim->job->s.stash_s + 1 > o->within_s;
+}
+
+static bool must_hurry(const rr_core *c, const rr_job *j, const rr_machine *m) {
+    for (guint i = 0; i < m->places->len; i++) {
+        const rr_place *q = &g_array_index(m->places, rr_place, i);
+        if (q->job->s.rank < j->s.rank && saving_too_slow(c, j, q)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void mark_victims(struct planner *p, rr_machine *m, const rr_job *j, uint32_t task,
+                         const GArray *attempts, int how) {
+    struct edit *e = m->edit;
+    for (guint i = 0; i < e->places->len; i++) {
+        rr_place *q = &g_array_index(e->places, rr_place, i);
+        for (guint k = 0; k < attempts->len; k++) {
+            if (q->attempt == g_array_index(attempts, uint64_t, k) && !q->evict && q->job != j) {
+                q->evict = how;
+                rr_log_at(p->c, RR_LOG_INFO, "preempt %s/%u on %s for %s/%u%s", q->job->s.ref,
+                          q->task, m->name, j->s.ref, task,
+                          how == RR_EVICT_AT_ONCE ? ", unsaved" : "");
+            }
+        }
+    }
+}
+
+/* The machine on which least work is lost; the task is booked there at once and starts when the
+ * ledger shows room. */
+static bool preempt_for(struct planner *p, rr_job *j, uint32_t task, const bool *wards, bool warm) {
     rr_core *c = p->c;
     rr_machine *best = NULL;
     double least = 0;
@@ -450,33 +503,60 @@
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
         double loss;
-        if (!wards[m->ward < 0 ? 0 : m->ward] || m->ward < 0 ||
-            !rr_job_allows(c, j, m->build, m->ward, m->loaners) ||
-            !rr_machine_usable(c, m, p->now) || !victims_on(p, m, j, v, &loss)) {
+        if (m->ward < 0 || !wards[m->ward] || !rr_job_allows(c, j, m->build, m->ward, m->loaners) ||
+            !rr_machine_usable(c, m, p->now) || (warm && !rr_machine_has_cast(m, j->cast)) ||
+            !victims_on(p, m, j, must_hurry(c, j, m), v, &loss)) {
             continue;
         }
-        loss += rr_machine_has_cast(m, j->cast) ? 0 : 30;
         if (!best || loss < least) {
             best = m;
             least = loss;
         }
     }
-    bool ok = best && victims_on(p, best, j, v, &least) && book(p, best, j, task);
-    struct edit *e = ok ? best->edit : NULL;
-    for (guint i = 0; ok && i < e->places->len; i++) {
-        rr_place *q = &g_array_index(e->places, rr_place, i);
-        for (guint k = 0; k < v->len; k++) {
-            if (q->attempt == g_array_index(v, uint64_t, k) && !q->evict && q->job != j) {
-                q->evict = true;
-                rr_log_at(c, RR_LOG_INFO, "preempt %s/%u on %s for %s/%u", q->job->s.ref, q->task,
-                          best->name, j->s.ref, task);
-            }
-        }
+    bool hurry = best && must_hurry(c, j, best);
+    bool ok = best && victims_on(p, best, j, hurry, v, &least) && book(p, best, j, task);
+    if (ok) {
+        mark_victims(p, best, j, task, v, hurry ? RR_EVICT_AT_ONCE : RR_EVICT_SAVING);
     }
     g_array_free(v, TRUE);
     return ok;
 }
 
+static double fetch_time(const rr_core *c, const rr_job *j, const rr_machine *m) {
+    const rr_build *b = rr_build_at(c, m->build);
+    return rr_machine_has_cast(m, j->cast) ? 0 : b && b->pull_rate > 0 ? j->s.pull_gb / b->pull_rate : 5;
+}
+
+/* Where a class has an aim on its start: a free machine that can make it, else the room of lower
+ * work where the image is, else any free machine, else any room of lower work. */
+static bool place_urgent(struct planner *p, rr_job *j, uint32_t task, struct rr_choice *how) {
+    const rr_core *c = p->c;
+    double within = rr_objective_for(c, "wait", j->s.lane)->within_s;
+    rr_machine *m = rr_choose(p->c, j, how, p->now);
+    if (m && fetch_time(c, j, m) + 1 <= within) {
+        return book(p, m, j, task);
+    }
+    if (may_preempt(c, j) && preempt_for(p, j, task, how->wards, true)) {
+        return true;
+    }
+    return m ? book(p, m, j, task) : may_preempt(c, j) && preempt_for(p, j, task, how->wards, false);
+}
+
+static bool place_task(struct planner *p, rr_job *j, uint32_t task, const bool *wards) {
+    struct rr_choice how = {.wards = wards,
+                            .separate = j->s.shape == RR_SERVICE,
+                            .filter = rr_machine_usable};
+    if (rr_objective_for(p->c, "wait", j->s.lane) && place_urgent(p, j, task, &how)) {
+        return true;
+    }
+    rr_machine *m = rr_choose(p->c, j, &how, p->now);
+    if (!m && how.separate && j->nplaced) {
+        how.separate = false; /* better two on one machine than one not at all */
+        m = rr_choose(p->c, j, &how, p->now);
+    }
+    return m && book(p, m, j, task);
+}
+
 static void place_job(struct planner *p, rr_job *j, int *left) {
     rr_core *c = p->c;
     bool wards[c->wards.names->len + 1];
@@ -501,17 +581,7 @@
         if (!within_quota(p, j)) {
             return;
         }
-        struct rr_choice how = {.wards = wards,
-                                .separate = j->s.shape == RR_SERVICE,
-                                .filter = rr_machine_usable};
-        rr_machine *m = rr_choose(c, j, &how, p->now);
-        if (!m && how.separate && j->nplaced) {
-            how.separate = false;
-            m = rr_choose(c, j, &how, p->now);
-        }
-        bool ok = m ? book(p, m, j, task)
-                    : may_preempt(c, j) && preempt_for(p, j, task, wards);
-        if (!ok) {
+        if (!place_task(p, j, task, wards)) {
             return;
         }
         (*left)--;
@@ -580,7 +650,7 @@
         struct edit *e = mv.from->edit;
         for (guint k = 0; k < e->places->len; k++) {
             rr_place *q = &g_array_index(e->places, rr_place, k);
-            q->evict |= q->attempt == old->attempt;
+            q->evict = q->attempt == old->attempt ? RR_EVICT_SAVING : q->evict;
         }
         c->moves_made++;
         rr_log_at(c, RR_LOG_INFO, "move %s/%u from %s to %s", mv.job->s.ref, mv.task,
