--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -347,11 +347,11 @@
 }
 
 static bool step_probe(rr_core *c, double now, rr_step *out) {
-    double limit = c->cfg->tune.dead_reports * c->cfg->report_s;
+    double limit = 1.5 * c->cfg->report_s; /* a report late by more than its usual quarter */
     rr_machine *best = NULL;
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
-        if (m->recorded && m->heard && !m->ret && rr_silent_for(m, now) > limit - 3 &&
+        if (m->recorded && m->heard && !m->ret && rr_silent_for(m, now) > limit &&
             now - m->probed_at > 1.5 && (!best || m->probed_at < best->probed_at)) {
             best = m;
         }
