Probes by every controller at once; short session lease, longer answering

Now all controllers probe (two at a time), a lost link forgets its queue, and the lease is 0.35 of cancel_s - lease_s while reports are answered for 0.6. Ruled out: cloud calls (0.2 s).

--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -47,9 +47,12 @@
 
 /* ---- session ---- */
 
-static void set_session(struct rr_app *a, uint64_t tether, double until) {
+/* Our steady clock may run slow against the store's: drift and a little more come off. */
+static void set_session(struct rr_app *a, uint64_t tether, double sent) {
+    double until = sent + rr_session_s(&a->cfg) * 0.998 - 0.1;
+    double answer = sent + rr_answer_s(&a->cfg) * 0.998 - 0.1;
     pthread_mutex_lock(&a->lock);
-    rr_core_set_session(a->core, tether, until);
+    rr_core_set_session(a->core, tether, tether ? until : 0, tether ? answer : 0);
     rr_app_kick(a);
     pthread_cond_broadcast(&a->mirrored);
     pthread_mutex_unlock(&a->lock);
@@ -90,8 +93,7 @@
     if (old) {
         rr_store_end_lease(s, old);
     }
-    /* Our steady clock may run slow against the store's: drift and a little more come off. */
-    set_session(a, *tether, sent + life * 0.998 - 0.1);
+    set_session(a, *tether, sent);
     rr_log(RR_INFO_LEVEL, "session %" G_GUINT64_FORMAT " for %.1f s", *tether, life);
     return 0;
 }
@@ -106,10 +108,10 @@
 }
 
 static int renew(struct rr_app *a, rr_store *s, uint64_t tether) {
-    double life = rr_session_s(&a->cfg), sent = rr_now();
+    double sent = rr_now();
     int rc = rr_store_renew(s, tether);
     if (rc == 0) {
-        set_session(a, tether, sent + life * 0.998 - 0.1);
+        set_session(a, tether, sent);
         pthread_mutex_lock(&a->lock);
         a->store_ok_at = rr_now();
         pthread_mutex_unlock(&a->lock);
@@ -120,7 +122,7 @@
 void *rr_duty_session(void *app) {
     struct rr_app *a = app;
     rr_store *s = open_store(a);
-    double life = rr_session_s(&a->cfg), step = life / 9 < 0.3 ? 0.3 : life / 9, since = 0;
+    double life = rr_session_s(&a->cfg), step = life / 8 < 0.3 ? 0.3 : life / 8, since = 0;
     uint64_t tether = 0;
     while (!stopping(a)) {
         if (!tether) {
@@ -542,6 +544,20 @@
     return ok;
 }
 
+/* A silent machine is asked for its status by every controller; what one hears the others hear. */
+static void send_probe(struct rr_app *a, rr_client *client, const rr_do *d) {
+    rr_reply reply;
+    bool alive = rr_worker_call(client, d->addr, NULL, 0, 1.2, &reply) == 0 &&
+                 reply.status == 200 && take_answer(a, reply.body->data, reply.body->len, -1);
+    if (alive) {
+        rr_peers_report(a->peers, reply.body->data, reply.body->len);
+    }
+    pthread_mutex_lock(&a->lock);
+    rr_core_do_result(a->core, rr_now(), d, alive ? RR_DO_ANSWERED : RR_DO_NOT_SENT, false);
+    rr_app_kick(a);
+    pthread_mutex_unlock(&a->lock);
+}
+
 static void send_do(struct rr_app *a, rr_client *client, const rr_do *d) {
     rr_out o;
     rr_reply reply = {0};
@@ -596,7 +612,7 @@
         rr_do *d = g_queue_pop_head(&a->do_queue);
         pthread_mutex_unlock(&a->lock);
         if (d) {
-            send_do(a, client, d);
+            (d->orders->len ? send_do : send_probe)(a, client, d);
             rr_do_free(d);
         }
     }
@@ -658,33 +674,8 @@
     return rc;
 }
 
-/* A silent machine is asked directly and through every peer before anybody judges it. */
-static int do_probe(struct rr_app *a, rr_client *client, const rr_step *step) {
-    rr_reply reply;
-    uint32_t answered = 0;
-    bool alive = false;
-    if (rr_worker_call(client, step->addr, NULL, 0, 1.5, &reply) == 0 && reply.status == 200) {
-        alive = take_answer(a, reply.body->data, reply.body->len, -1);
-    }
-    for (size_t i = 0; !alive && i < a->cfg.npeers; i++) {
-        rr_relayed r = {0};
-        bool asked;
-        if (rr_peers_relay(a->peers, (int)i, step->addr, NULL, 0, 1.5, &r, &asked) == 0) {
-            alive = take_answer(a, r.body->data, r.body->len, (int)i);
-            g_byte_array_free(r.body, TRUE);
-        }
-        answered |= asked ? 1u << i : 0;
-    }
-    if (!alive) {
-        pthread_mutex_lock(&a->lock);
-        rr_core_probe_failed(a->core, rr_now(), step->stone, answered);
-        pthread_mutex_unlock(&a->lock);
-    }
-    return 0;
-}
-
-static int do_step(struct rr_app *a, rr_store *s, rr_cloud *cloud, rr_client *client,
-                   const rr_step *step, uint64_t *need) {
+static int do_step(struct rr_app *a, rr_store *s, rr_cloud *cloud, const rr_step *step,
+                   uint64_t *need) {
     uint64_t epoch;
     enum rr_commit rc;
     switch (step->kind) {
@@ -696,8 +687,6 @@
         return do_hire(a, cloud, step);
     case RR_STEP_RELEASE:
         return do_release(a, cloud, step);
-    case RR_STEP_PROBE:
-        return do_probe(a, client, step);
     case RR_STEP_TXN:
         rc = rr_app_commit(a, s, RR_PRIO_PLAN, &step->txn, &epoch);
         if (rc != RR_COMMITTED && rc != RR_CONFLICT) {
@@ -714,7 +703,6 @@
     struct rr_app *a = app;
     rr_store *s = open_store(a);
     rr_cloud *cloud = rr_cloud_create(&a->cfg.cloud, a->cfg.cloud_rps, &a->stop);
-    rr_client *client = rr_client_create(&a->stop);
     uint64_t need = 0;
     while (!stopping(a)) {
         rr_step step;
@@ -727,7 +715,7 @@
             rr_app_wait(a, &a->mirrored, &a->lock, 0.3);
         }
         pthread_mutex_unlock(&a->lock);
-        int rc = do_step(a, s, cloud, client, &step, &need);
+        int rc = do_step(a, s, cloud, &step, &need);
         if (rc != 0) {
             rr_log(RR_DEBUG_LEVEL, "steward step %d: %s", (int)step.kind, strerror(-rc));
             /* Jitter keeps two nodes from knocking in step. */
@@ -735,7 +723,6 @@
         }
         rr_step_clear(&step);
     }
-    rr_client_destroy(client);
     rr_cloud_destroy(cloud);
     rr_store_destroy(s);
     return NULL;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -41,6 +41,7 @@
     int round_moves;          /* moves a round at most */
     bool rounds;              /* false: no re-orchestration */
     double session_share;     /* session time as a share of cancel_s - lease_s */
+    double answer_share;      /* how long reports are answered without a renewal, likewise */
     double silent_reports;    /* reports missed before a machine takes no new work */
     double dead_reports;      /* reports missed before a lone silent machine is given up */
     double idle_return_s;     /* idle time before a rented machine goes back */
@@ -72,10 +73,16 @@
     struct rr_tuning tune;
 };
 
-/* Session time: a worker served by a controller that hears of no cancellation must still end in
- * time, so session + lease_s + time to stop stays below cancel_s (checked with the settings). */
+/* The lease of a session: short, so that another takes over soon from one that has lost the state
+ * service; longer than an ordinary restart takes. */
 static inline double rr_session_s(const struct rr_config *c) {
     return c->tune.session_share * (c->cancel_s - c->lease_s);
 }
 
+/* A worker served by a controller that hears of no cancellation must still end in time, so this time
+ * + lease_s + time to stop stays below cancel_s (answer_share is at most 0.8). */
+static inline double rr_answer_s(const struct rr_config *c) {
+    return c->tune.answer_share * (c->cancel_s - c->lease_s);
+}
+
 #endif
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -30,8 +30,9 @@
 bool rr_core_loaded(const rr_core *c);
 
 /* ---- sessions and terms ---- */
-/* Our own session: its lease and until when it surely holds. */
-void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until);
+/* Our own session: its lease, until when it surely holds (then we may plan), and until when workers'
+ * reports may be answered, which is longer. */
+void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until, double answer_until);
 bool rr_core_entitled(const rr_core *c, double now);
 /* Whether our node key stands in the mirror with this lease. */
 bool rr_core_session_seen(const rr_core *c, uint64_t tether);
@@ -76,7 +77,7 @@
 typedef struct {
     char stone[RR_ID], addr[RR_ID];
     uint64_t warrant, tenure;
-    GArray *orders; /* rr_order */
+    GArray *orders; /* rr_order; empty: only ask for the machine's status */
     int via;        /* peer to go through, -1: direct */
     int fallback;   /* peer to try if nothing could be sent directly, -1: none */
 } rr_do;
@@ -104,8 +105,7 @@
     RR_STEP_LIST,
     RR_STEP_TXN,
     RR_STEP_HIRE,
-    RR_STEP_RELEASE,
-    RR_STEP_PROBE
+    RR_STEP_RELEASE
 };
 typedef struct {
     enum rr_step_kind kind;
@@ -114,7 +114,6 @@
     bool loaners;
     int how_many;
     GPtrArray *stones;                                   /* RELEASE: char* */
-    char stone[RR_ID], addr[RR_ID];                      /* PROBE */
 } rr_step;
 void rr_step_init(rr_step *s);
 void rr_step_clear(rr_step *s);
@@ -125,8 +124,6 @@
 /* status: 200 with ids, 503 no capacity, else: unknown, try again later. */
 void rr_core_hired(rr_core *c, double now, const rr_step *s, int status, const GPtrArray *ids);
 void rr_core_released(rr_core *c, double now, const GPtrArray *ids);
-/* asked: bit i set if peer i answered that it can't reach the machine either. */
-void rr_core_probe_failed(rr_core *c, double now, const char *stone, uint32_t asked);
 
 /* ---- for logs and tests ---- */
 typedef struct {
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -132,7 +132,7 @@
     uint64_t epoch;
     bool loaded, rereading;
     uint64_t tether;
-    double entitled_until;
+    double entitled_until, answer_until;
     uint64_t counter; /* for attempts and request names, with the token */
     /* steward */
     double steward_since, list_at, sim_at, adopt_at;
@@ -145,7 +145,7 @@
     double round_at, calm_since;
     int round_left; /* moves left in this round */
     uint64_t round_token;
-    unsigned moves_made;
+    unsigned moves_made, probing;
 };
 
 void rr_log_at(const rr_core *c, int level, const char *fmt, ...) G_GNUC_PRINTF(3, 4);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -658,6 +658,34 @@
     }
 }
 
+/* ---- probes ---- */
+
+#define PROBES_MAX 2 /* at a time: a silent zone must not keep the senders from the others */
+#define PROBE_EVERY_S 1.0
+
+/* A report late by more than its usual quarter: ask. The one asked longest ago comes first. */
+static void probe_silent(struct planner *p) {
+    rr_core *c = p->c;
+    for (guint i = 0; i < c->machine_list->len && c->probing < PROBES_MAX; i++) {
+        rr_machine *best = NULL;
+        for (guint k = 0; k < c->machine_list->len; k++) {
+            rr_machine *m = g_ptr_array_index(c->machine_list, k);
+            if (m->recorded && !m->ret && m->addr[0] && !m->do_inflight && (m->heard || m->places->len) &&
+                rr_silent_for(m, p->now) > 1.5 * c->cfg->report_s &&
+                p->now - m->probed_at > PROBE_EVERY_S && (!best || m->probed_at < best->probed_at)) {
+                best = m;
+            }
+        }
+        if (!best) {
+            return;
+        }
+        best->probed_at = p->now;
+        best->do_inflight = true;
+        do_for(p, best);
+        c->probing++;
+    }
+}
+
 /* ---- putting it together ---- */
 
 static void put_results(struct planner *p) {
@@ -741,6 +769,7 @@
     make_moves(&p);
     build_txn(&p);
     finish_dos(&p);
+    probe_silent(&p);
     g_hash_table_destroy(p.team_used);
     g_ptr_array_free(p.touched, TRUE);
     g_ptr_array_free(p.results, TRUE);
@@ -750,10 +779,16 @@
 void rr_core_do_result(rr_core *c, double now, const rr_do *d, enum rr_do_outcome outcome,
                        bool executed) {
     rr_machine *m = g_hash_table_lookup(c->machines, d->stone);
+    bool probe = d->orders->len == 0;
+    c->probing -= probe && c->probing > 0;
     if (!m) {
         return;
     }
     m->do_inflight = false;
+    if (probe) {
+        m->probe_fails = outcome == RR_DO_ANSWERED ? 0 : m->probe_fails + 1;
+        return;
+    }
     m->do_next = outcome == RR_DO_ANSWERED ? (executed ? 0 : now + 0.5) : now + 1;
     if (outcome == RR_DO_ANSWERED) {
         return;
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -169,15 +169,6 @@
     }
 }
 
-void rr_core_probe_failed(rr_core *c, double now, const char *stone, uint32_t asked) {
-    rr_machine *m = g_hash_table_lookup(c->machines, stone);
-    (void)asked;
-    if (m) {
-        m->probe_fails++;
-        m->probed_at = now;
-    }
-}
-
 /* ---- bookkeeping steps ---- */
 
 static bool step_records(rr_core *c, double now, double wall, rr_step *out) {
@@ -346,25 +337,6 @@
     }
 }
 
-static bool step_probe(rr_core *c, double now, rr_step *out) {
-    double limit = 1.5 * c->cfg->report_s; /* a report late by more than its usual quarter */
-    rr_machine *best = NULL;
-    for (guint i = 0; i < c->machine_list->len; i++) {
-        rr_machine *m = g_ptr_array_index(c->machine_list, i);
-        if (m->recorded && m->heard && !m->ret && rr_silent_for(m, now) > limit &&
-            now - m->probed_at > 1.5 && (!best || m->probed_at < best->probed_at)) {
-            best = m;
-        }
-    }
-    if (!best) {
-        return false;
-    }
-    best->probed_at = now;
-    g_strlcpy(out->stone, best->name, sizeof out->stone);
-    g_strlcpy(out->addr, best->addr, sizeof out->addr);
-    return true;
-}
-
 /* ---- demand ---- */
 
 struct rent {
@@ -682,8 +654,6 @@
     } else if (c->list_at == 0 || now - c->list_at > c->cfg->tune.cloud_list_s) {
         c->list_at = now;
         out->kind = RR_STEP_LIST;
-    } else if (step_probe(c, now, out)) {
-        out->kind = RR_STEP_PROBE;
     }
     if (out->kind == RR_STEP_TXN) {
         rr_txn_guard(&out->txn, RR_ROOT "term", c->term.mark);
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -3,8 +3,9 @@
 
 #include <string.h>
 
-void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until) {
+void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until, double answer_until) {
     c->tether = tether;
+    c->answer_until = answer_until;
     c->entitled_until = entitled_until;
 }
 
--- a/src/core/troubles.c
+++ b/src/core/troubles.c
@@ -70,11 +70,14 @@
               j->s.ref, m->name, n, m->err_jobs->len);
 }
 
-/* A machine counts as dead or hung if it is silent while its zone is heard, or, where it has no
- * neighbours to compare with, if the probes through the peers failed too. A silent zone is a cut. */
+/* A machine counts as dead or hung if it is silent while its zone is heard and our own probes of it
+ * fail too. All controllers probe, and what one hears it passes on, so a machine that any of them
+ * reaches is not silent. A silent zone is a cut. */
 bool rr_machine_dead(rr_core *c, rr_machine *m, double now) {
     double limit = c->cfg->tune.dead_reports * c->cfg->report_s;
-    if (!m->recorded || !m->heard || rr_silent_for(m, now) < limit) {
+    /* Work in the ledger shows that it was up, even if this process never heard it. */
+    bool was_up = m->heard || m->places->len > 0;
+    if (!m->recorded || !was_up || rr_silent_for(m, now) < limit) {
         return false;
     }
     guint others = 0, heard = 0;
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -152,6 +152,14 @@
     return b;
 }
 
+/* A report that waited for a peer to come back would be taken for fresh there: a machine that had
+ * hung meanwhile seemed alive for as long again. */
+static void forget_queue(struct link *l) {
+    pthread_mutex_lock(&l->owner->lock);
+    g_queue_clear_full(&l->queue, (GDestroyNotify)g_bytes_unref);
+    pthread_mutex_unlock(&l->owner->lock);
+}
+
 static int link_send(struct link *l, int *fd, GByteArray *frame, GBytes *report) {
     const struct rr_peer_config *peer = &l->owner->cfg->peers[l->index];
     gsize n;
@@ -183,7 +191,7 @@
                 close(fd);
             }
             fd = -1;
-            /* Reports age fast: what gathers meanwhile is bounded by the queue. */
+            forget_queue(l);
             for (int i = 0; i < 5 && !atomic_load(l->owner->stop); i++) {
                 rr_sleep(0.1);
             }
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -149,7 +149,8 @@
     c->tune = (struct rr_tuning){.round_period_s = 30,
                                  .round_moves = 4,
                                  .rounds = true,
-                                 .session_share = 0.6,
+                                 .session_share = 0.35,
+                                 .answer_share = 0.6,
                                  .silent_reports = 2,
                                  .dead_reports = 3.5,
                                  .idle_return_s = 20,
@@ -192,7 +193,7 @@
     rr_out_init(&o);
     rr_core_node_put(&o, tether);
     put(n->store, key, &o);
-    rr_core_set_session(n->core, tether, n->now + 1e6);
+    rr_core_set_session(n->core, tether, n->now + 1e6, n->now + 1e6);
     fx_term(n);
 }
 
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -47,8 +47,6 @@
             rr_core_listed(n->core, n->now, n->now, n->now, stones ? stones : none);
         } else if (out->kind == RR_STEP_CATALOG) {
             rr_core_catalog(n->core, n->now, builds);
-        } else if (out->kind == RR_STEP_PROBE) {
-            rr_core_probe_failed(n->core, n->now, out->stone, 0);
         } else if (out->kind == RR_STEP_NONE && kind == RR_STEP_RELEASE) {
             break; /* nothing more to do at this time */
         } else if (out->kind == RR_STEP_NONE) {
@@ -62,6 +60,20 @@
     return found;
 }
 
+/* Plans; every probe and command fails before it is sent. */
+static unsigned plan_unreachable(fx_node *n) {
+    rr_plan p;
+    unsigned probes = 0;
+    fx_plan(n, &p);
+    for (guint i = 0; i < p.dos->len; i++) {
+        rr_do *d = g_ptr_array_index(p.dos, i);
+        probes += d->orders->len == 0;
+        rr_core_do_result(n->core, n->now, d, RR_DO_NOT_SENT, false);
+    }
+    rr_plan_clear(&p);
+    return probes;
+}
+
 static void add_stone(GArray *a, const char *id, enum rr_stone_state st, double age) {
     rr_stone s = {.state = st, .age_s = age};
     g_strlcpy(s.id, id, sizeof s.id);
@@ -175,6 +187,7 @@
     }
     for (int i = 0; i < 20; i++) {
         n->now += 2;
+        plan_unreachable(n);
         assert_false(step_until(w, RR_STEP_RELEASE, stones, &s));
         rr_step_clear(&s);
     }
@@ -183,13 +196,12 @@
         n->now += 1;
         fx_report(n, "vm-1", "a", false, 1, i, 1, NULL);
         fx_report(n, "vm-2", "a", false, 1, i, 1, NULL);
+        plan_unreachable(n);
         rr_step_init(&s);
         rr_core_steward_step(n->core, n->now, n->now, &s);
         if (s.kind == RR_STEP_TXN) {
             fx_commit(w->store, &s.txn);
             fx_sync(w->store, n->core, n->now);
-        } else if (s.kind == RR_STEP_PROBE) {
-            rr_core_probe_failed(n->core, n->now, s.stone, 0);
         } else if (s.kind == RR_STEP_LIST) {
             rr_core_listed(n->core, n->now, n->now, n->now, stones);
         } else if (s.kind == RR_STEP_RELEASE) {
@@ -204,6 +216,29 @@
     g_array_free(stones, TRUE);
 }
 
+/* Silent machines are asked, but no more than two at a time: a cut zone must not keep the senders
+ * from the machines that can be reached. */
+static void probes_are_few(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    const char *ids[] = {"vm-1", "vm-2", "vm-3", "vm-4"};
+    for (int i = 0; i < 4; i++) {
+        fx_machine(w->store, ids[i], "a", false, true);
+    }
+    fx_sync(w->store, n->core, n->now);
+    for (int i = 0; i < 4; i++) {
+        fx_report(n, ids[i], "a", false, 1, 1, 1, NULL);
+    }
+    assert_int_equal(plan_unreachable(n), 0);
+    n->now += 5;
+    fx_plan(n, &p);
+    assert_int_equal(p.dos->len, 2);
+    rr_plan_clear(&p); /* still under way */
+    n->now += 5;
+    assert_int_equal(plan_unreachable(n), 0);
+}
+
 /* A young machine missing from a lagging list is not gone; one that was listed and is missing for
  * more than twice the lag is. */
 static void missing_from_a_late_list(void **state) {
@@ -300,6 +335,7 @@
                                        T(names_are_not_reused),
                                        T(adoption_and_idle_return),
                                        T(a_cut_zone_is_left_a_dead_machine_is_not),
+                                       T(probes_are_few),
                                        T(missing_from_a_late_list),
                                        T(catalogue_survives_a_lost_transaction),
                                        T(sick_machine_or_bad_job)};
