--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -508,6 +508,22 @@
     }
 }
 
+/* Work that would make room for the class and can save within its aim is as good as free room. */
+static void credit_preemptible(rr_core *c, const rr_job *j, double within_s, double now) {
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        for (guint k = 0; k < m->places->len && counts(c, m, now); k++) {
+            const rr_place *p = &g_array_index(m->places, rr_place, k);
+            const rr_submission *v = &p->job->s;
+            if (v->shape == RR_BATCH && v->rank < j->s.rank && j->s.rank > RR_STANDARD &&
+                v->cairn_s > 0 && v->stash_s + 1 <= within_s &&
+                rr_job_allows(c, j, m->build, m->ward, m->loaners)) {
+                m->sim = rr_res_add(m->sim, p->job->need, 1);
+            }
+        }
+    }
+}
+
 /* Room kept for a class with an aim on its start: what arrives while a machine boots. */
 static void demand_headroom(rr_core *c, GArray *rents, double now, double wall) {
     while (c->arrivals->len > 0 &&
@@ -543,6 +559,7 @@
         for (guint w = 0; w < c->wards.names->len; w++) {
             wards[w] = !last->s.ward[0] || strcmp(last->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
         }
+        credit_preemptible(c, last, o->within_s, now);
         for (int k = 0; k < n && k < 50; k++) {
             demand_one(c, last, wards, rents, now, true);
         }
