--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -476,7 +476,7 @@
         }
     }
     double slack = j->at + j->s.due_s - wall - 1.3 * j->s.guess_s - 1.3 * boot - pull;
-    return slack < 15;
+    return slack < 40;
 }
 
 static void demand_waiting(rr_core *c, GArray *rents, double now, double wall) {
