--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -419,40 +419,62 @@
     return cairn > 0 ? fmod(ran, cairn) : ran;
 }
 
-static gint by_loss(gconstpointer a, gconstpointer b) {
-    const rr_place *x = *(const rr_place *const *)a, *y = *(const rr_place *const *)b;
-    if (x->job->s.rank != y->job->s.rank) {
-        return x->job->s.rank < y->job->s.rank ? -1 : 1;
+/* Time to spare until the job's deadline if this task ran on from here; what is late already has
+ * nothing left to lose. */
+static double slack_of(const rr_place *q, double now, double wall) {
+    const rr_job *j = q->job;
+    if (j->s.due_s < 0) {
+        return 1e6;
     }
-    return x->seen_at > y->seen_at ? -1 : x->seen_at < y->seen_at;
+    double left = fmax(0, j->s.guess_s - (now - q->seen_at));
+    double slack = j->at + j->s.due_s - wall - left;
+    return slack < 0 ? 1e6 : slack;
 }
 
+struct victim {
+    const rr_place *place;
+    double slack;
+};
+
+static gint by_slack(gconstpointer a, gconstpointer b) {
+    const struct victim *x = a, *y = b;
+    if (x->place->job->s.rank != y->place->job->s.rank) {
+        return x->place->job->s.rank < y->place->job->s.rank ? -1 : 1;
+    }
+    return x->slack > y->slack ? -1 : x->slack < y->slack;
+}
+
+#define TIGHT_S 60.0 /* a deadline nearer than this is in danger from a restart */
+
 /* Room for a job of higher rank: which placements of lower rank would have to go from m, and what
  * that loses. */
 static bool victims_on(struct planner *p, rr_machine *m, const rr_job *j, bool at_once, GArray *out,
                        double *loss) {
     rr_res room = m->sim;
     const GArray *places = m->edit ? ((struct edit *)m->edit)->places : m->places;
-    GPtrArray *lower = g_ptr_array_new();
+    GArray *lower = g_array_new(FALSE, FALSE, sizeof(struct victim));
     *loss = 0;
     g_array_set_size(out, 0);
     for (guint i = 0; i < places->len; i++) {
-        rr_place *q = &g_array_index(places, rr_place, i);
+        const rr_place *q = &g_array_index(places, rr_place, i);
         if (q->evict) {
             room = rr_res_add(room, q->job->need, 1);
         } else if (q->job->s.rank < j->s.rank && q->job->s.shape == RR_BATCH) {
-            g_ptr_array_add(lower, q);
+            struct victim v = {q, slack_of(q, p->now, p->wall)};
+            g_array_append_val(lower, v);
         }
     }
-    g_ptr_array_sort(lower, by_loss);
+    g_array_sort(lower, by_slack);
     for (guint i = 0; i < lower->len && !rr_res_fits(j->need, room); i++) {
-        const rr_place *q = g_ptr_array_index(lower, i);
+        const struct victim *v = &g_array_index(lower, struct victim, i);
+        const rr_place *q = v->place;
         bool saves = q->job->s.cairn_s > 0 && !at_once;
         room = rr_res_add(room, q->job->need, 1);
         *loss += 1 + (saves ? q->job->s.stash_s : unsaved(q, p->now));
+        *loss += v->slack < TIGHT_S ? TIGHT_S - v->slack : 0;
         g_array_append_val(out, q->attempt);
     }
-    g_ptr_array_free(lower, TRUE);
+    g_array_free(lower, TRUE);
     return rr_res_fits(j->need, room);
 }
 
