--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -547,7 +547,7 @@
 /* A silent machine is asked for its status by every controller; what one hears the others hear. */
 static void send_probe(struct rr_app *a, rr_client *client, const rr_do *d) {
     rr_reply reply;
-    bool alive = rr_worker_call(client, d->addr, NULL, 0, 1.2, &reply) == 0 &&
+    bool alive = rr_worker_call(client, d->addr, NULL, 0, 0.8, &reply) == 0 &&
                  reply.status == 200 && take_answer(a, reply.body->data, reply.body->len, -1);
     if (alive) {
         rr_peers_report(a->peers, reply.body->data, reply.body->len);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -482,17 +482,15 @@
     return j->s.rank > RR_STANDARD && rr_objective_for(c, "wait", j->s.lane);
 }
 
-/* Saving takes the victims' stash time; where the aim on the start does not leave it, they stop at
- * once and lose what they did since their last checkpoint. */
-static bool saving_too_slow(const rr_core *c, const rr_job *j, const rr_place *victim) {
-    const struct rr_objective *o = rr_objective_for(c, "wait", j->s.lane);
-    return o && victim->job->s.stash_s + 1 > o->within_s;
-}
-
-static bool must_hurry(const rr_core *c, const rr_job *j, const rr_machine *m) {
+/* Saving takes the victims' stash time; where the aim on the start does not leave it, or is missed
+ * already (a replica lost with its machine, say), they stop at once and lose what they did since
+ * their last checkpoint. */
+static bool must_hurry(const struct planner *p, const rr_job *j, const rr_machine *m) {
+    const struct rr_objective *o = rr_objective_for(p->c, "wait", j->s.lane);
+    double left = o ? o->within_s - (p->wall - j->at) : 1e9;
     for (guint i = 0; i < m->places->len; i++) {
         const rr_place *q = &g_array_index(m->places, rr_place, i);
-        if (q->job->s.rank < j->s.rank && saving_too_slow(c, j, q)) {
+        if (q->job->s.rank < j->s.rank && q->job->s.stash_s + 1 > left) {
             return true;
         }
     }
@@ -527,7 +525,7 @@
         double loss;
         if (m->ward < 0 || !wards[m->ward] || !rr_job_allows(c, j, m->build, m->ward, m->loaners) ||
             !rr_machine_usable(c, m, p->now) || (warm && !rr_machine_has_cast(m, j->cast)) ||
-            !victims_on(p, m, j, must_hurry(c, j, m), v, &loss)) {
+            !victims_on(p, m, j, must_hurry(p, j, m), v, &loss)) {
             continue;
         }
         if (!best || loss < least) {
@@ -535,7 +533,7 @@
             least = loss;
         }
     }
-    bool hurry = best && must_hurry(c, j, best);
+    bool hurry = best && must_hurry(p, j, best);
     bool ok = best && victims_on(p, best, j, hurry, v, &least) && book(p, best, j, task);
     if (ok) {
         mark_victims(p, best, j, task, v, hurry ? RR_EVICT_AT_ONCE : RR_EVICT_SAVING);
@@ -683,7 +681,7 @@
 /* ---- probes ---- */
 
 #define PROBES_MAX 2 /* at a time: a silent zone must not keep the senders from the others */
-#define PROBE_EVERY_S 1.0
+#define PROBE_EVERY_S 0.9
 
 /* A report late by more than its usual quarter: ask. The one asked longest ago comes first. */
 static void probe_silent(struct planner *p) {
@@ -693,7 +691,7 @@
         for (guint k = 0; k < c->machine_list->len; k++) {
             rr_machine *m = g_ptr_array_index(c->machine_list, k);
             if (m->recorded && !m->ret && m->addr[0] && !m->do_inflight && (m->heard || m->places->len) &&
-                rr_silent_for(m, p->now) > 1.5 * c->cfg->report_s &&
+                rr_silent_for(m, p->now) > 1.3 * c->cfg->report_s &&
                 p->now - m->probed_at > PROBE_EVERY_S && (!best || m->probed_at < best->probed_at)) {
                 best = m;
             }
