Rounds settle the replicas of full machines first

Cause: with all replicas of one size, the order of the list decided, and plans shifted replicas between full machines ("4 machines to empty, 1 move").

--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -12,6 +12,7 @@
     uint32_t task;
     rr_machine *home, *to;
     double size;
+    double room; /* free on its machine now */
     bool taken;
 };
 
@@ -58,17 +59,28 @@
     if (gx && x->job != y->job) {
         return strcmp(x->job->s.ref, y->job->s.ref);
     }
-    return x->size > y->size ? -1 : x->size < y->size;
+    if (fabs(x->size - y->size) > 1e-9) {
+        return x->size > y->size ? -1 : 1;
+    }
+    /* Between equals, those on the fullest machines: they settle where they are, and what is left
+     * on emptier ones fills up with its like. In any other order a plan shifts replicas between
+     * full machines, and its moves wait for each other. */
+    if (fabs(x->room - y->room) > 1e-9) {
+        return x->room < y->room ? -1 : 1;
+    }
+    return x->home->id - y->home->id;
 }
 
 static GArray *collect(rr_core *c, double now) {
     GArray *items = g_array_new(FALSE, TRUE, sizeof(struct item));
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        rr_res cap = rr_machine_cap(c, m);
+        double room = rr_res_room(rr_res_add(cap, m->used, -1), cap);
         for (guint k = 0; k < m->places->len; k++) {
             const rr_place *p = &g_array_index(m->places, rr_place, k);
             if (movable(c, m, p, now)) {
-                struct item it = {p->job, p->task, m, NULL, size_of(c, m, p->job), false};
+                struct item it = {p->job, p->task, m, NULL, size_of(c, m, p->job), room, false};
                 g_array_append_val(items, it);
             }
         }
