--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -71,18 +71,27 @@
     return x->home->id - y->home->id;
 }
 
+/* A machine with anything that must stay can't be emptied: its replicas stay too, and do not take
+ * room on paper that real moves need. */
+static bool can_be_emptied(const rr_core *c, const rr_machine *m, double now) {
+    for (guint k = 0; k < m->places->len; k++) {
+        if (!movable(c, m, &g_array_index(m->places, rr_place, k), now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static GArray *collect(rr_core *c, double now) {
     GArray *items = g_array_new(FALSE, TRUE, sizeof(struct item));
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
         rr_res cap = rr_machine_cap(c, m);
         double room = rr_res_room(rr_res_add(cap, m->used, -1), cap);
-        for (guint k = 0; k < m->places->len; k++) {
+        for (guint k = 0; k < m->places->len && can_be_emptied(c, m, now); k++) {
             const rr_place *p = &g_array_index(m->places, rr_place, k);
-            if (movable(c, m, p, now)) {
-                struct item it = {p->job, p->task, m, NULL, size_of(c, m, p->job), room, false};
-                g_array_append_val(items, it);
-            }
+            struct item it = {p->job, p->task, m, NULL, size_of(c, m, p->job), room, false};
+            g_array_append_val(items, it);
         }
     }
     g_array_sort(items, by_group_and_size);
