--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -114,7 +114,8 @@
     rr_out_clear(&u.value);
 }
 
-static void submit(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
+static void decide_submission(struct rr_app *a, const struct rr_request *rq,
+                              struct rr_response *rs) {
     rr_doc doc;
     rr_submission s;
     const char *why = "not MessagePack";
@@ -148,6 +149,15 @@
     }
 }
 
+static void submit(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
+    double began = rr_now();
+    decide_submission(a, rq, rs);
+    double took = rr_now() - began;
+    if (rs->status >= 500 || took > 0.15) {
+        rr_log(RR_DEBUG_LEVEL, "submission answered %d after %.0f ms", rs->status, took * 1000);
+    }
+}
+
 static void poll_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
     rr_job_view v;
     if (!rr_ref_valid(ref)) {
