--- a/src/app/app.c
+++ b/src/app/app.c
@@ -31,8 +31,16 @@
     return true;
 }
 
-static void on_peer_report(void *user, int peer, const void *body, size_t len) {
-    rr_app_take_report(user, body, len, peer);
+#define GOSSIP_MAX 4 /* peers at most for which reports are passed on a second time */
+
+/* Where two zones can't reach each other a third may reach both: what is news here is passed on once,
+ * so that nobody takes a machine for dead that a neighbour hears. */
+static void on_peer_report(void *user, int peer, unsigned hops, const void *body, size_t len) {
+    struct rr_app *a = user;
+    if (rr_app_take_report(a, body, len, peer) && hops == 0 && a->cfg.npeers > 1 &&
+        a->cfg.npeers <= GOSSIP_MAX) {
+        rr_peers_report(a->peers, peer, 1, body, len);
+    }
 }
 
 static void cond_init(pthread_cond_t *c) {
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -65,7 +65,8 @@
 /* Repeats a transaction until its outcome is certain; see duties.c. */
 enum rr_commit rr_app_commit(struct rr_app *a, rr_store *s, enum rr_prio prio, const rr_txn *t,
                              uint64_t *epoch);
-void rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via);
+/* True if it was news. */
+bool rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via);
 
 /* handlers.c */
 void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs);
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -550,7 +550,7 @@
     bool alive = rr_worker_call(client, d->addr, NULL, 0, 0.8, &reply) == 0 &&
                  reply.status == 200 && take_answer(a, reply.body->data, reply.body->len, -1);
     if (alive) {
-        rr_peers_report(a->peers, reply.body->data, reply.body->len);
+        rr_peers_report(a->peers, -1, 0, reply.body->data, reply.body->len);
     }
     pthread_mutex_lock(&a->lock);
     rr_core_do_result(a->core, rr_now(), d, alive ? RR_DO_ANSWERED : RR_DO_NOT_SENT, false);
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -231,13 +231,15 @@
 
 /* ---- workers ---- */
 
-void rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via) {
+bool rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via) {
     rr_doc doc;
     rr_report r;
+    bool news = false;
     if (rr_doc_parse(&doc, body, len) == 0) {
         if (rr_report_decode(doc.root, &r) == 0) {
             pthread_mutex_lock(&a->lock);
-            if (rr_core_report(a->core, rr_now(), &r, via)) {
+            news = rr_core_report(a->core, rr_now(), &r, via);
+            if (news) {
                 rr_app_kick(a);
             }
             pthread_mutex_unlock(&a->lock);
@@ -245,6 +247,7 @@
         rr_report_clear(&r);
     }
     rr_doc_clear(&doc);
+    return news;
 }
 
 static void hello(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
@@ -268,7 +271,7 @@
         rr_app_kick(a);
     }
     pthread_mutex_unlock(&a->lock);
-    rr_peers_report(a->peers, rq->body, rq->len);
+    rr_peers_report(a->peers, -1, 0, rq->body, rq->len);
     rs->status = ans.status;
     if (ans.status == 200) {
         rr_orders_encode(&rs->body, ans.warrant, 0, ans.orders);
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -13,7 +13,7 @@
 
 enum rr_frame_type {
     RR_FRAME_HELLO = 1,  /* node name */
-    RR_FRAME_REPORT = 2, /* a worker's report as it came */
+    RR_FRAME_REPORT = 2, /* hops so far, a worker's report as it came */
     RR_FRAME_RELAY = 3,  /* carry a call to a worker: address, body (empty: GET /status) */
     RR_FRAME_ANSWER = 4  /* its outcome: sent, status, body */
 };
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -205,14 +205,20 @@
     return NULL;
 }
 
-void rr_peers_report(rr_peers *p, const void *body, size_t len) {
-    if (p->cfg->npeers == 0 || len + RR_FRAME_HEAD > RR_FRAME_MAX) {
+void rr_peers_report(rr_peers *p, int except, unsigned hops, const void *body, size_t len) {
+    if (p->cfg->npeers == 0 || len + RR_FRAME_HEAD + 1 > RR_FRAME_MAX) {
         return;
     }
-    GBytes *b = g_bytes_new(body, len);
+    uint8_t *payload = g_malloc(len + 1);
+    payload[0] = (uint8_t)hops;
+    memcpy(payload + 1, body, len);
+    GBytes *b = g_bytes_new_take(payload, len + 1);
     pthread_mutex_lock(&p->lock);
     for (size_t i = 0; i < p->cfg->npeers; i++) {
         GQueue *q = &p->links[i].queue;
+        if ((int)i == except) {
+            continue;
+        }
         if (g_queue_get_length(q) >= QUEUE_MAX) {
             g_bytes_unref(g_queue_pop_head(q));
         }
@@ -273,8 +279,8 @@
         rr_unpack u = {in->data, in->len, false};
         if (type == RR_FRAME_HELLO && rr_unpack_text(&u, name, sizeof name)) {
             peer = peer_index(p, name);
-        } else if (type == RR_FRAME_REPORT && peer >= 0) {
-            p->ev.report(p->ev.user, peer, in->data, in->len);
+        } else if (type == RR_FRAME_REPORT && peer >= 0 && in->len > 1) {
+            p->ev.report(p->ev.user, peer, in->data[0], in->data + 1, in->len - 1);
         } else if (type != RR_FRAME_RELAY || peer < 0 ||
                    serve_relay(p, c->fd, client, in) != 0) {
             break;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -11,8 +11,9 @@
 
 struct rr_peer_events {
     void *user;
-    /* A peer heard this report (called on a connection's thread; body is borrowed). */
-    void (*report)(void *user, int peer, const void *body, size_t len);
+    /* A peer heard this report, itself (hops 0) or from another peer (1). Called on a connection's
+     * thread; body is borrowed. */
+    void (*report)(void *user, int peer, unsigned hops, const void *body, size_t len);
 };
 
 typedef struct rr_peers rr_peers;
@@ -22,8 +23,8 @@
 void rr_peers_stop(rr_peers *p); /* after *stop is set: joins every thread */
 void rr_peers_destroy(rr_peers *p);
 
-/* Queues a report for every peer; a full queue drops its oldest. */
-void rr_peers_report(rr_peers *p, const void *body, size_t len);
+/* Queues a report for every peer but `except` (-1: none); a full queue drops its oldest. */
+void rr_peers_report(rr_peers *p, int except, unsigned hops, const void *body, size_t len);
 
 typedef struct {
     long status;
