--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -116,25 +116,33 @@
            !(how->need_cast && !rr_machine_has_cast(m, j->cast));
 }
 
+double rr_fetch_time(const rr_core *c, const rr_job *j, const rr_machine *m) {
+    const rr_build *b = rr_build_at(c, m->build);
+    if (rr_machine_has_cast(m, j->cast)) {
+        return 0;
+    }
+    return b && b->pull_rate > 0 ? j->s.pull_gb / b->pull_rate : 5;
+}
+
 /* Sort key, least first. An image that is already there comes before price where the class has an
- * aim on its start, since a fetch can take longer than the aim allows; elsewhere it only decides
- * between near-equal machines. A machine that failed this job comes last. */
+ * aim on its start, since a fetch can take longer than the aim allows. Elsewhere a fetch makes the
+ * room dearer by the time it takes, since the room is held for that long too, and between equals
+ * the machine that needs none wins. A machine that failed this job comes last. */
 struct rank {
-    double trouble, image, cost, room;
+    double trouble, image, cost, fetch, room;
 };
 
 static struct rank rank_of(rr_core *c, const rr_job *j, const rr_machine *m, bool zone_group,
                            double now) {
     rr_res cap = rr_machine_cap(c, m);
     double room = rr_res_room(m->sim, cap);
-    bool cold = !rr_machine_has_cast(m, j->cast);
     bool urgent = rr_objective_for(c, "wait", j->s.lane) != NULL;
-    struct rank r = {0, 0, 0, room};
+    struct rank r = {0, 0, 0, rr_fetch_time(c, j, m), room};
     r.trouble = failed_here(m, j) ? 2 : rr_machine_doubtful(m, now) ? 1 : 0;
-    r.image = urgent && cold;
+    r.image = urgent && r.fetch > 0;
     r.cost = zone_group ? room : rr_machine_price(c, m) * room;
-    if (cold && !urgent) {
-        r.cost *= 1.05;
+    if (!urgent && j->s.guess_s > 0) {
+        r.cost *= 1 + r.fetch / j->s.guess_s;
     }
     return r;
 }
@@ -149,6 +157,9 @@
     if (fabs(a->cost - b->cost) > 1e-9) {
         return a->cost < b->cost;
     }
+    if (fabs(a->fetch - b->fetch) > 1e-9) {
+        return a->fetch < b->fetch;
+    }
     return a->room < b->room - 1e-9;
 }
 
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -202,6 +202,8 @@
 /* The zones in which one more task of the job may start, given its placements (and, while moving,
  * not counting `except`): fills allowed[ward]. */
 void rr_job_wards(const rr_core *c, const rr_job *j, bool *allowed, const rr_place *except);
+/* Estimated time to fetch the job's image there; 0: it has it. */
+double rr_fetch_time(const rr_core *c, const rr_job *j, const rr_machine *m);
 struct rr_choice {
     const bool *wards;    /* allowed zones */
     bool separate;        /* no machine that has a task of this job */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -542,18 +542,13 @@
     return ok;
 }
 
-static double fetch_time(const rr_core *c, const rr_job *j, const rr_machine *m) {
-    const rr_build *b = rr_build_at(c, m->build);
-    return rr_machine_has_cast(m, j->cast) ? 0 : b && b->pull_rate > 0 ? j->s.pull_gb / b->pull_rate : 5;
-}
-
 /* Where a class has an aim on its start: a free machine that can make it, else the room of lower
  * work where the image is, else any free machine, else any room of lower work. */
 static bool place_urgent(struct planner *p, rr_job *j, uint32_t task, struct rr_choice *how) {
     const rr_core *c = p->c;
     double within = rr_objective_for(c, "wait", j->s.lane)->within_s;
     rr_machine *m = rr_choose(p->c, j, how, p->now);
-    if (m && fetch_time(c, j, m) + 1 <= within) {
+    if (m && rr_fetch_time(c, j, m) + 1 <= within) {
         return book(p, m, j, task);
     }
     if (may_preempt(c, j) && preempt_for(p, j, task, how->wards, true)) {
