--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -8,7 +8,7 @@
 #define CATALOG_S 60.0
 #define HIRE_RETRY_S 5.0
 #define REFUSED_S 15.0
-#define ARRIVAL_WINDOW_S 240.0
+#define ARRIVAL_WINDOW_S 120.0
 #define GONE_KEEP_S 600.0
 #define HIRE_MAX 20
 
