Documents keep their own bytes; the whole process tested against a stand-in world

Found by the address sanitizer in the new test: libmsgpack's text points into the buffer it read, and a mirror of more than one page kept the documents of all pages while the client reused that buffer; keys of the first pages would have been garbage. Test a_document_keeps_its_text. The service test runs accept, cancel, outage, lost answer, frozen mirror and restart over loopback, also under TSan.

--- a/src/wire/doc.c
+++ b/src/wire/doc.c
@@ -111,11 +111,13 @@
     struct scan s = {data, (const uint8_t *)data + len};
     msgpack_unpacked_init(&doc->up);
     doc->root = NULL;
+    doc->copy = NULL;
     if (len == 0 || !scan_value(&s, RR_DEPTH_MAX) || s.p != s.end) {
         return -EBADMSG;
     }
     size_t off = 0;
-    if (msgpack_unpack_next(&doc->up, data, len, &off) != MSGPACK_UNPACK_SUCCESS || off != len) {
+    doc->copy = g_memdup2(data, len);
+    if (msgpack_unpack_next(&doc->up, doc->copy, len, &off) != MSGPACK_UNPACK_SUCCESS || off != len) {
         return -EBADMSG;
     }
     doc->root = &doc->up.data;
@@ -124,6 +126,8 @@
 
 void rr_doc_clear(rr_doc *doc) {
     msgpack_unpacked_destroy(&doc->up);
+    g_free(doc->copy);
+    doc->copy = NULL;
     doc->root = NULL;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -18,6 +18,7 @@
 /* ---- documents ---- */
 typedef struct {
     msgpack_unpacked up;
+    void *copy; /* libmsgpack's text points into what it read; the document keeps its own */
     const msgpack_object *root;
 } rr_doc;
 
--- /dev/null
+++ b/tests/test_service.c
@@ -0,0 +1,215 @@
+/* The whole process against the stand-in world on loopback: threads, sockets and all. Waits are for
+ * conditions, bounded well above what they take. */
+#include "fakes.h"
+
+#include "app/clock.h"
+#include "app/log.h"
+#include "world.h"
+
+#include <string.h>
+
+struct service {
+    world *w;
+    struct rr_app *app;
+};
+
+static struct rr_app *start_app(world *w, const char *name) {
+    struct rr_app *a = g_new0(struct rr_app, 1);
+    world_config(w, &a->cfg, name);
+    assert_int_equal(rr_app_start(a), 0);
+    return a;
+}
+
+static void stop_app(struct rr_app *a) {
+    rr_app_stop(a);
+    g_free(a);
+}
+
+static void wait_ready(const struct rr_app *a) {
+    double until = rr_now() + 30;
+    while (world_call(&a->cfg, "GET", "/ready", NULL, 0, NULL) != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.02);
+    }
+}
+
+static int setup(void **state) {
+    struct service *s = g_new0(struct service, 1);
+    s->w = world_start();
+    s->app = start_app(s->w, "n0");
+    wait_ready(s->app);
+    *state = s;
+    return 0;
+}
+
+static int teardown(void **state) {
+    struct service *s = *state;
+    stop_app(s->app);
+    world_stop(s->w);
+    g_free(s);
+    return 0;
+}
+
+static int submit(const struct rr_app *a, const char *ref, uint32_t pieces, bool service) {
+    rr_submission sub;
+    rr_out o;
+    fx_submission(&sub, &(struct fx_job){.ref = ref, .pieces = pieces, .cpu = 1, .service = service});
+    rr_out_init(&o);
+    rr_put_map(&o, rr_submission_field_count(&sub));
+    rr_submission_encode_fields(&o, &sub);
+    int status = world_call(&a->cfg, "POST", "/submissions", o.buf.data, o.buf.size, NULL);
+    rr_out_clear(&o);
+    return status;
+}
+
+/* The standing that a poll tells, or "" with any other answer than 200. */
+static const char *poll_standing(const struct rr_app *a, const char *ref, char *out, size_t size) {
+    char path[96];
+    rr_doc d;
+    g_snprintf(path, sizeof path, "/submissions/%s", ref);
+    out[0] = 0;
+    int status = world_call(&a->cfg, "GET", path, NULL, 0, &d);
+    if (status > 0) {
+        if (status == 200) {
+            rr_get_text(d.root, "standing", out, size);
+        }
+        rr_doc_clear(&d);
+    }
+    return out;
+}
+
+static void wait_standing(const struct rr_app *a, const char *ref, const char *want) {
+    double until = rr_now() + 40;
+    char got[32];
+    while (strcmp(poll_standing(a, ref, got, sizeof got), want) != 0) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+}
+
+static int cancel(const struct rr_app *a, const char *ref) {
+    char path[96];
+    g_snprintf(path, sizeof path, "/submissions/%s/cancel", ref);
+    return world_call(&a->cfg, "POST", path, "", 0, NULL);
+}
+
+static void runs_an_array_and_cancels_a_service(void **state) {
+    struct service *s = *state;
+    assert_int_equal(submit(s->app, "req-100001", 5, false), 201);
+    assert_int_equal(submit(s->app, "req-100001", 5, false), 200);
+    assert_int_equal(submit(s->app, "req-500001", 2, true), 201);
+    wait_standing(s->app, "req-100001", "done");
+    wait_standing(s->app, "req-500001", "running");
+    assert_int_equal(cancel(s->app, "req-500001"), 200);
+    assert_int_equal(cancel(s->app, "req-500001"), 200);
+    double until = rr_now() + 20;
+    while (world_tasks(s->w) > 0) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+    wait_standing(s->app, "req-500001", "aborted");
+    /* Done stays done, whatever is asked of it. */
+    assert_int_equal(cancel(s->app, "req-100001"), 200);
+    wait_standing(s->app, "req-100001", "done");
+    assert_int_equal(world_rented(s->w), 1);
+}
+
+static void bad_requests(void **state) {
+    struct service *s = *state;
+    const struct rr_config *c = &s->app->cfg;
+    static char large[RR_BODY_MAX + 1];
+    uint8_t deep[2000];
+    memset(deep, 0x91, sizeof deep);
+    assert_int_equal(world_call(c, "POST", "/submissions", "junk!", 5, NULL), 400);
+    assert_int_equal(world_call(c, "POST", "/submissions", deep, sizeof deep, NULL), 400);
+    assert_int_equal(world_call(c, "POST", "/submissions", "\xdd\xff\xff\xff\xff", 5, NULL), 400);
+    assert_int_equal(world_call(c, "POST", "/submissions", large, sizeof large, NULL), 413);
+    assert_int_equal(world_call(c, "GET", "/submissions", NULL, 0, NULL), 405);
+    assert_int_equal(world_call(c, "POST", "/ready", "", 0, NULL), 405);
+    assert_int_equal(world_call(c, "GET", "/nothing", NULL, 0, NULL), 404);
+    assert_int_equal(world_call(c, "GET", "/submissions/req-999999", NULL, 0, NULL), 404);
+    assert_int_equal(world_call(c, "GET", "/submissions/nonsense", NULL, 0, NULL), 404);
+    assert_int_equal(cancel(s->app, "req-999999"), 404);
+    assert_int_equal(world_call(c, "POST", "/hello", "\x80", 1, NULL), 400);
+    assert_int_equal(world_call(c, "GET", "/ready", NULL, 0, NULL), 200);
+}
+
+/* The store carried the acceptance out, but its answer was lost: the job is accepted once, and the
+ * user is told so or asked to come back, never anything else. */
+static void an_unanswered_commit(void **state) {
+    struct service *s = *state;
+    world_drop_next_answer(s->w);
+    int status = submit(s->app, "req-100002", 1, false);
+    assert_true(status == 200 || status == 201 || status == 503);
+    assert_int_equal(submit(s->app, "req-100002", 1, false), 200);
+    wait_standing(s->app, "req-100002", "done");
+}
+
+/* A second controller whose mirror stands still must not tell an older state than the first has
+ * told: it says that it can't tell. */
+static void no_older_answer_elsewhere(void **state) {
+    struct service *s = *state;
+    char got[32];
+    struct rr_app *b = start_app(s->w, "n1");
+    wait_ready(b);
+    assert_int_equal(submit(s->app, "req-500002", 1, true), 201);
+    wait_standing(b, "req-500002", "queued");
+    world_freeze_watches(s->w, true);
+    assert_int_equal(cancel(s->app, "req-500002"), 200);
+    assert_string_equal(poll_standing(b, "req-500002", got, sizeof got), "");
+    assert_int_equal(submit(b, "req-500002", 1, true), 503);
+    world_freeze_watches(s->w, false);
+    wait_standing(b, "req-500002", "aborted");
+    assert_int_equal(submit(b, "req-500002", 1, true), 200);
+    stop_app(b);
+}
+
+/* While the state service is down nothing is promised, and what was final is still told. */
+static void an_outage(void **state) {
+    struct service *s = *state;
+    char got[32];
+    assert_int_equal(submit(s->app, "req-100003", 1, false), 201);
+    wait_standing(s->app, "req-100003", "done");
+    world_store_down(s->w, true);
+    assert_int_equal(submit(s->app, "req-100004", 1, false), 503);
+    assert_int_equal(cancel(s->app, "req-100003"), 200);
+    assert_string_equal(poll_standing(s->app, "req-100003", got, sizeof got), "done");
+    assert_string_equal(poll_standing(s->app, "req-100004", got, sizeof got), "");
+    world_store_down(s->w, false);
+    double until = rr_now() + 30;
+    int status;
+    while ((status = submit(s->app, "req-100004", 1, false)) != 201 && status != 200) {
+        assert_int_equal(status, 503);
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+    wait_standing(s->app, "req-100004", "done");
+}
+
+/* Stopped and started again it takes its own session over and goes on. */
+static void a_restart_goes_on(void **state) {
+    struct service *s = *state;
+    assert_int_equal(submit(s->app, "req-500003", 1, true), 201);
+    wait_standing(s->app, "req-500003", "running");
+    stop_app(s->app);
+    s->app = start_app(s->w, "n0");
+    wait_ready(s->app);
+    wait_standing(s->app, "req-500003", "running");
+    assert_int_equal(world_tasks(s->w), 1);
+    assert_int_equal(cancel(s->app, "req-500003"), 200);
+    assert_int_equal(world_rented(s->w), 1);
+}
+
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int main(void) {
+    const struct CMUnitTest tests[] = {T(runs_an_array_and_cancels_a_service),
+                                       T(bad_requests),
+                                       T(an_unanswered_commit),
+                                       T(no_older_answer_elsewhere),
+                                       T(an_outage),
+                                       T(a_restart_goes_on)};
+    rr_net_init();
+    rr_log_set_level("error");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -32,6 +32,20 @@
     assert_int_equal(parse(fine, sizeof fine), 0);
 }
 
+/* A document outlives the buffer it was read from: a mirror read in pages kept the documents of all
+ * pages while the client's buffer was used for the next one. */
+static void a_document_keeps_its_text(void **state) {
+    (void)state;
+    char buf[] = "\x81\xa1k\xa3"
+                 "abc", out[8];
+    rr_doc d;
+    assert_int_equal(rr_doc_parse(&d, buf, sizeof buf - 1), 0);
+    memset(buf, 'x', sizeof buf);
+    assert_true(rr_get_text(d.root, "k", out, sizeof out));
+    assert_string_equal(out, "abc");
+    rr_doc_clear(&d);
+}
+
 static void one_whole_value_only(void **state) {
     (void)state;
     uint8_t two[] = {0x01, 0x02}, cut[] = {0x92, 0x01};
@@ -243,6 +257,7 @@
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(huge_lengths_cost_nothing),
                                        cmocka_unit_test(deep_nesting_is_refused),
+                                       cmocka_unit_test(a_document_keeps_its_text),
                                        cmocka_unit_test(one_whole_value_only),
                                        cmocka_unit_test(submission_round_trip),
                                        cmocka_unit_test(bad_fields_are_named),
--- /dev/null
+++ b/tests/world.c
@@ -0,0 +1,616 @@
+#include "world.h"
+
+#include "app/clock.h"
+#include "app/settings.h"
+#include "worker/worker.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct value {
+    void *data;
+    size_t len;
+    uint64_t mark, tether;
+};
+
+struct change {
+    char *key;
+    void *data;
+    size_t len;
+    uint64_t mark;
+};
+
+struct task {
+    char piece[80];
+    uint64_t attempt;
+    double ends_at; /* 0: runs until stopped */
+    int standing;   /* 1 running, 2 done, 3 halted */
+};
+
+struct world {
+    struct MHD_Daemon *daemon;
+    uint16_t port;
+    pthread_mutex_t lock;
+    pthread_cond_t moved;
+    GTree *kv; /* sorted keys -> struct value */
+    GPtrArray *log;
+    uint64_t epoch, holds;
+    bool stopping, drop_next, frozen, down;
+    unsigned rented;
+    /* the worker */
+    pthread_t worker;
+    bool up;
+    GArray *tasks;
+    uint64_t warrant, tally;
+    struct rr_endpoint reports_to;
+    unsigned renew_fails;
+};
+
+static void value_free(gpointer p) {
+    struct value *v = p;
+    g_free(v->data);
+    g_free(v);
+}
+
+static void change_free(gpointer p) {
+    struct change *c = p;
+    g_free(c->key);
+    g_free(c->data);
+    g_free(c);
+}
+
+static gint by_key(gconstpointer a, gconstpointer b, gpointer user) {
+    (void)user;
+    return strcmp(a, b);
+}
+
+/* ---- state service ---- */
+
+static void set_key(world *w, const char *key, const msgpack_object *v, uint64_t tether) {
+    struct change *c = g_new0(struct change, 1);
+    c->key = g_strdup(key);
+    c->mark = w->epoch;
+    if (v) {
+        msgpack_sbuffer b;
+        msgpack_packer pk;
+        msgpack_sbuffer_init(&b);
+        msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+        msgpack_pack_object(&pk, *v);
+        struct value *nv = g_new0(struct value, 1);
+        nv->data = g_memdup2(b.data, b.size);
+        nv->len = c->len = b.size;
+        nv->mark = w->epoch;
+        nv->tether = tether;
+        c->data = g_memdup2(b.data, b.size);
+        g_tree_replace(w->kv, g_strdup(key), nv);
+        msgpack_sbuffer_destroy(&b);
+    } else {
+        g_tree_remove(w->kv, key);
+    }
+    g_ptr_array_add(w->log, c);
+}
+
+static int commit(world *w, const msgpack_object *o, rr_out *out) {
+    const msgpack_object *guards = rr_get(o, "guards"), *apply = rr_get(o, "apply");
+    GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
+    char key[256];
+    uint64_t mark, tether;
+    for (uint32_t i = 0; guards && i < guards->via.array.size; i++) {
+        const msgpack_object *g = &guards->via.array.ptr[i];
+        rr_get_text(g, "path", key, sizeof key);
+        rr_get_u64(g, "mark", &mark);
+        const struct value *v = g_tree_lookup(w->kv, key);
+        if ((v ? v->mark : 0) != mark) {
+            g_ptr_array_add(failed, g_strdup(key));
+        }
+    }
+    bool ok = failed->len == 0;
+    if (ok) {
+        w->epoch++;
+        for (uint32_t i = 0; apply && i < apply->via.array.size; i++) {
+            const msgpack_object *c = &apply->via.array.ptr[i];
+            tether = 0;
+            rr_get_u64(c, "tether", &tether);
+            if (rr_get_text(c, "put", key, sizeof key)) {
+                set_key(w, key, rr_get(c, "v"), tether);
+            } else if (rr_get_text(c, "delete", key, sizeof key)) {
+                set_key(w, key, NULL, 0);
+            }
+        }
+        pthread_cond_broadcast(&w->moved);
+    }
+    rr_put_map(out, ok ? 1 : 2);
+    rr_put_key_u64(out, "epoch", w->epoch);
+    if (!ok) {
+        rr_put_text(out, "failed");
+        rr_put_array(out, failed->len);
+        for (guint i = 0; i < failed->len; i++) {
+            rr_put_text(out, failed->pdata[i]);
+        }
+    }
+    g_ptr_array_free(failed, TRUE);
+    return ok ? 200 : 409;
+}
+
+static int get_key(world *w, const char *key, rr_out *out) {
+    const struct value *v = g_tree_lookup(w->kv, key);
+    if (!v) {
+        rr_put_map(out, 1);
+        rr_put_key_u64(out, "epoch", w->epoch);
+        return 404;
+    }
+    rr_put_map(out, 4);
+    rr_put_key_text(out, "path", key);
+    rr_put_text(out, "v");
+    msgpack_sbuffer_write(&out->buf, v->data, v->len);
+    rr_put_key_u64(out, "mark", v->mark);
+    rr_put_key_u64(out, "tether", v->tether);
+    return 200;
+}
+
+struct listing {
+    rr_out *out;
+};
+
+static gboolean list_one(gpointer k, gpointer v, gpointer user) {
+    struct listing *l = user;
+    const struct value *val = v;
+    rr_put_map(l->out, 3);
+    rr_put_key_text(l->out, "path", k);
+    rr_put_text(l->out, "v");
+    msgpack_sbuffer_write(&l->out->buf, val->data, val->len);
+    rr_put_key_u64(l->out, "mark", val->mark);
+    return FALSE;
+}
+
+static int list_keys(world *w, rr_out *out) {
+    struct listing l = {out};
+    rr_put_map(out, 3);
+    rr_put_key_bool(out, "more", false);
+    rr_put_key_u64(out, "epoch", w->epoch);
+    rr_put_text(out, "rows");
+    rr_put_array(out, (size_t)g_tree_nnodes(w->kv));
+    g_tree_foreach(w->kv, list_one, &l);
+    return 200;
+}
+
+static void wait_moved(world *w, double seconds) {
+    double until = rr_now() + seconds;
+    struct timespec ts = {(time_t)until, (long)((until - (double)(time_t)until) * 1e9)};
+    pthread_cond_timedwait(&w->moved, &w->lock, &ts);
+}
+
+static int watch(world *w, uint64_t from, double hold_s, rr_out *out) {
+    double until = rr_now() + hold_s;
+    while (!w->stopping && (w->frozen || w->down || w->epoch <= from) && rr_now() < until) {
+        wait_moved(w, until - rr_now());
+    }
+    guint n = 0;
+    bool show = !w->frozen && !w->down;
+    for (guint i = 0; show && i < w->log->len; i++) {
+        n += ((struct change *)w->log->pdata[i])->mark > from;
+    }
+    rr_put_map(out, 2);
+    rr_put_key_u64(out, "epoch", show ? w->epoch : from);
+    rr_put_text(out, "log");
+    rr_put_array(out, n);
+    /* Newest first: the order is not promised. */
+    for (guint i = w->log->len; show && i > 0; i--) {
+        const struct change *c = w->log->pdata[i - 1];
+        if (c->mark <= from) {
+            continue;
+        }
+        rr_put_map(out, c->data ? 3 : 2);
+        rr_put_key_text(out, c->data ? "put" : "delete", c->key);
+        rr_put_key_u64(out, "mark", c->mark);
+        if (c->data) {
+            rr_put_text(out, "v");
+            msgpack_sbuffer_write(&out->buf, c->data, c->len);
+        }
+    }
+    return 200;
+}
+
+static gboolean find_tethered(gpointer k, gpointer v, gpointer user) {
+    uint64_t *want = ((void **)user)[0];
+    if (((struct value *)v)->tether == *want) {
+        ((void **)user)[1] = k;
+        return TRUE;
+    }
+    return FALSE;
+}
+
+static int end_lease(world *w, uint64_t tether) {
+    void *user[2] = {&tether, NULL};
+    w->epoch++;
+    do {
+        user[1] = NULL;
+        g_tree_foreach(w->kv, find_tethered, user);
+        if (user[1]) {
+            char *key = g_strdup(user[1]);
+            set_key(w, key, NULL, 0);
+            g_free(key);
+        }
+    } while (user[1]);
+    pthread_cond_broadcast(&w->moved);
+    return 200;
+}
+
+/* ---- cloud and worker ---- */
+
+static int catalog(rr_out *out) {
+    rr_build b = {.sku = "m1", .vcpus = 16, .cards = 4, .mem_gb = 64, .cache_gb = 50,
+                  .pull_rate = 1, .price = 3, .spot_price = 1, .startup_s = 1};
+    b.wards = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(b.wards, g_strdup("a"));
+    rr_put_map(out, 1);
+    rr_put_text(out, "builds");
+    rr_put_array(out, 1);
+    rr_build_encode(out, &b);
+    rr_build_clear(&b);
+    return 200;
+}
+
+static int machines(world *w, rr_out *out) {
+    char addr[40];
+    g_snprintf(addr, sizeof addr, "127.0.0.1:%u", w->port);
+    rr_put_map(out, 2);
+    rr_put_key_bool(out, "more", false);
+    rr_put_text(out, "stones");
+    rr_put_array(out, w->up ? 1 : 0);
+    if (w->up) {
+        rr_put_map(out, 7);
+        rr_put_key_text(out, "ref", "vm-000001");
+        rr_put_key_text(out, "addr", addr);
+        rr_put_key_text(out, "build", "m1");
+        rr_put_key_text(out, "ward", "a");
+        rr_put_key_bool(out, "loaners", false);
+        rr_put_key_text(out, "standing", "running");
+        rr_put_key_num(out, "age_s", 1);
+    }
+    return 200;
+}
+
+static int hire(world *w, rr_out *out) {
+    if (w->up) {
+        rr_put_map(out, 1);
+        rr_put_key_text(out, "error", "no capacity");
+        return 503;
+    }
+    w->up = true;
+    w->rented++;
+    rr_put_map(out, 1);
+    rr_put_text(out, "stones");
+    rr_put_array(out, 1);
+    rr_put_text(out, "vm-000001");
+    return 200;
+}
+
+static void do_order(world *w, const msgpack_object *o) {
+    char piece[80];
+    uint64_t attempt = 0;
+    rr_get_text(o, "piece", piece, sizeof piece);
+    rr_get_u64(o, "try", &attempt);
+    guint at = w->tasks->len;
+    for (guint i = 0; i < w->tasks->len; i++) {
+        const struct task *t = &g_array_index(w->tasks, struct task, i);
+        if (t->attempt == attempt && strcmp(t->piece, piece) == 0) {
+            at = i;
+        }
+    }
+    bool known = at < w->tasks->len;
+    struct task *t = known ? &g_array_index(w->tasks, struct task, at) : NULL;
+    if (rr_text_is(rr_get(o, "verb"), "start") && !known) {
+        struct task fresh = {.attempt = attempt, .standing = 1};
+        g_strlcpy(fresh.piece, piece, sizeof fresh.piece);
+        /* Jobs numbered from 5 are services. */
+        fresh.ends_at = piece[4] == '5' ? 0 : rr_now() + 0.1;
+        g_array_append_val(w->tasks, fresh);
+    } else if (rr_text_is(rr_get(o, "verb"), "stop") && known && t->standing == 1) {
+        t->standing = 3;
+    } else if (rr_text_is(rr_get(o, "verb"), "reap") && known && t->standing > 1) {
+        g_array_remove_index(w->tasks, at);
+    }
+}
+
+static void report(world *w, rr_out *out) {
+    static const char *const standings[] = {"", "running", "ended", "ended"};
+    static const char *const causes[] = {"", "", "done", "halted"};
+    char addr[40];
+    g_snprintf(addr, sizeof addr, "127.0.0.1:%u", w->port);
+    rr_put_map(out, 9);
+    rr_put_key_text(out, "stone", "vm-000001");
+    rr_put_key_text(out, "addr", addr);
+    rr_put_key_text(out, "build", "m1");
+    rr_put_key_text(out, "ward", "a");
+    rr_put_key_bool(out, "loaners", false);
+    rr_put_key_u64(out, "tenure", 1);
+    rr_put_key_u64(out, "tally", ++w->tally);
+    rr_put_key_u64(out, "warrant", w->warrant);
+    rr_put_text(out, "pieces");
+    rr_put_array(out, w->tasks->len);
+    for (guint i = 0; i < w->tasks->len; i++) {
+        struct task *t = &g_array_index(w->tasks, struct task, i);
+        if (t->standing == 1 && t->ends_at > 0 && rr_now() > t->ends_at) {
+            t->standing = 2;
+        }
+        rr_put_map(out, t->standing > 1 ? 4 : 3);
+        rr_put_key_text(out, "piece", t->piece);
+        rr_put_key_u64(out, "try", t->attempt);
+        rr_put_key_text(out, "standing", standings[t->standing]);
+        if (t->standing > 1) {
+            rr_put_key_text(out, "cause", causes[t->standing]);
+        }
+    }
+}
+
+static bool take_orders(world *w, const msgpack_object *o) {
+    uint64_t warrant = 0;
+    const msgpack_object *orders = rr_get(o, "orders");
+    if (!rr_get_u64(o, "warrant", &warrant) || warrant < w->warrant) {
+        return false;
+    }
+    w->warrant = warrant;
+    for (uint32_t i = 0; orders && i < orders->via.array.size; i++) {
+        do_order(w, &orders->via.array.ptr[i]);
+    }
+    return true;
+}
+
+static void *worker_main(void *arg) {
+    world *w = arg;
+    rr_client *c = rr_client_create(NULL);
+    for (;;) {
+        rr_out o;
+        rr_reply reply;
+        rr_out_init(&o);
+        pthread_mutex_lock(&w->lock);
+        bool stop = w->stopping, up = w->up && w->reports_to.port;
+        struct rr_endpoint to = w->reports_to;
+        if (up) {
+            report(w, &o);
+        }
+        pthread_mutex_unlock(&w->lock);
+        if (stop) {
+            rr_out_clear(&o);
+            break;
+        }
+        struct rr_call call = {.method = "POST", .to = &to, .path = "/hello", .body = o.buf.data,
+                               .len = o.buf.size, .timeout_s = 2};
+        if (up && rr_client_call(c, &call, &reply) == 0 && reply.status == 200) {
+            rr_doc d;
+            if (rr_doc_parse(&d, reply.body->data, reply.body->len) == 0) {
+                pthread_mutex_lock(&w->lock);
+                take_orders(w, d.root);
+                pthread_mutex_unlock(&w->lock);
+            }
+            rr_doc_clear(&d);
+        }
+        rr_out_clear(&o);
+        rr_sleep(0.05);
+    }
+    rr_client_destroy(c);
+    return NULL;
+}
+
+/* ---- one door for all ---- */
+
+static int route(world *w, struct MHD_Connection *conn, const char *url, const char *method,
+                 const msgpack_object *o, rr_out *out) {
+    const char *from = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "from");
+    const char *hold = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "hold_ms");
+    if (strcmp(url, "/catalog") == 0) {
+        return catalog(out);
+    }
+    if (strcmp(url, "/machines") == 0) {
+        return strcmp(method, "GET") == 0 ? machines(w, out) : hire(w, out);
+    }
+    if (strcmp(url, "/machines/release") == 0) {
+        w->up = false;
+        g_array_set_size(w->tasks, 0);
+        return 200;
+    }
+    if (strcmp(url, "/do") == 0) {
+        bool ok = take_orders(w, o);
+        report(w, out);
+        return ok ? 200 : 409;
+    }
+    if (strcmp(url, "/status") == 0) {
+        report(w, out);
+        return 200;
+    }
+    if (strcmp(url, "/watch") == 0) {
+        return watch(w, g_ascii_strtoull(from, NULL, 10), g_ascii_strtod(hold, NULL) / 1000, out);
+    }
+    if (w->down) {
+        return 503;
+    }
+    if (strcmp(url, "/commit") == 0) {
+        return commit(w, o, out);
+    }
+    if (strcmp(url, "/store") == 0) {
+        return list_keys(w, out);
+    }
+    if (strncmp(url, "/store/", 7) == 0) {
+        return get_key(w, url + 7, out);
+    }
+    if (strcmp(url, "/holds") == 0) {
+        rr_put_map(out, 1);
+        rr_put_key_u64(out, "tether", ++w->holds);
+        return 200;
+    }
+    if (strcmp(method, "DELETE") == 0) {
+        return end_lease(w, g_ascii_strtoull(url + 7, NULL, 10));
+    }
+    return 200; /* renewals */
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn, const char *url,
+                                  const char *method, const char *version, const char *data,
+                                  size_t *len, void **state) {
+    world *w = cls;
+    GByteArray *body = *state;
+    (void)version;
+    if (!body) {
+        *state = g_byte_array_new();
+        return MHD_YES;
+    }
+    if (*len) {
+        g_byte_array_append(body, (const guint8 *)data, (guint)*len);
+        *len = 0;
+        return MHD_YES;
+    }
+    rr_doc d;
+    rr_out out;
+    rr_doc_parse(&d, body->data, body->len);
+    rr_out_init(&out);
+    pthread_mutex_lock(&w->lock);
+    int status = route(w, conn, url, method, d.root, &out);
+    bool drop = w->drop_next && strcmp(url, "/commit") == 0 && strstr((char *)body->data, "req-");
+    w->drop_next = w->drop_next && !drop;
+    pthread_mutex_unlock(&w->lock);
+    rr_doc_clear(&d);
+    enum MHD_Result ok = MHD_NO; /* closes the connection */
+    if (!drop) {
+        struct MHD_Response *r =
+            MHD_create_response_from_buffer(out.buf.size, out.buf.data, MHD_RESPMEM_MUST_COPY);
+        ok = MHD_queue_response(conn, (unsigned)status, r);
+        MHD_destroy_response(r);
+    }
+    rr_out_clear(&out);
+    return ok;
+}
+
+static void on_completed(void *cls, struct MHD_Connection *conn, void **state,
+                         enum MHD_RequestTerminationCode why) {
+    (void)cls;
+    (void)conn;
+    (void)why;
+    if (*state) {
+        g_byte_array_free(*state, TRUE);
+    }
+}
+
+world *world_start(void) {
+    world *w = g_new0(world, 1);
+    pthread_condattr_t a;
+    struct sockaddr_in addr = {.sin_family = AF_INET};
+    inet_pton(AF_INET, "127.0.0.1", &addr.sin_addr);
+    pthread_mutex_init(&w->lock, NULL);
+    pthread_condattr_init(&a);
+    pthread_condattr_setclock(&a, CLOCK_MONOTONIC);
+    pthread_cond_init(&w->moved, &a);
+    w->kv = g_tree_new_full(by_key, NULL, g_free, value_free);
+    w->log = g_ptr_array_new_with_free_func(change_free);
+    w->tasks = g_array_new(FALSE, TRUE, sizeof(struct task));
+    w->daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0,
+                                 NULL, NULL, on_request, w, MHD_OPTION_SOCK_ADDR, &addr,
+                                 MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+    g_assert(w->daemon);
+    w->port = MHD_get_daemon_info(w->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+    pthread_create(&w->worker, NULL, worker_main, w);
+    return w;
+}
+
+void world_stop(world *w) {
+    pthread_mutex_lock(&w->lock);
+    w->stopping = true;
+    pthread_cond_broadcast(&w->moved);
+    pthread_mutex_unlock(&w->lock);
+    pthread_join(w->worker, NULL);
+    MHD_stop_daemon(w->daemon);
+    g_tree_destroy(w->kv);
+    g_ptr_array_free(w->log, TRUE);
+    g_array_free(w->tasks, TRUE);
+    g_free(w);
+}
+
+#define SWITCH(name, type, field)                                                                  \
+    void name(world *w, type v) {                                                                  \
+        pthread_mutex_lock(&w->lock);                                                              \
+        w->field = v;                                                                              \
+        pthread_cond_broadcast(&w->moved);                                                         \
+        pthread_mutex_unlock(&w->lock);                                                            \
+    }
+SWITCH(world_freeze_watches, bool, frozen)
+SWITCH(world_store_down, bool, down)
+
+void world_drop_next_answer(world *w) {
+    pthread_mutex_lock(&w->lock);
+    w->drop_next = true;
+    pthread_mutex_unlock(&w->lock);
+}
+
+unsigned world_tasks(world *w) {
+    unsigned n = 0;
+    pthread_mutex_lock(&w->lock);
+    for (guint i = 0; i < w->tasks->len; i++) {
+        n += g_array_index(w->tasks, struct task, i).standing == 1;
+    }
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
+unsigned world_rented(world *w) {
+    pthread_mutex_lock(&w->lock);
+    unsigned n = w->rented;
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
+static uint16_t free_port(void) {
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    socklen_t n = sizeof a;
+    inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert(bind(fd, (struct sockaddr *)&a, sizeof a) == 0);
+    g_assert(getsockname(fd, (struct sockaddr *)&a, &n) == 0);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+void world_config(world *w, struct rr_config *c, const char *name) {
+    memset(c, 0, sizeof *c);
+    struct rr_endpoint local = {.host = "127.0.0.1"};
+    g_strlcpy(c->node_name, name, RR_NAME);
+    g_strlcpy(c->zone, "a", RR_NAME);
+    c->bind = c->peer_listen = c->cloud = c->state = local;
+    c->bind.port = free_port();
+    c->peer_listen.port = free_port();
+    c->cloud.port = c->state.port = w->port;
+    c->nteams = 1;
+    g_strlcpy(c->teams[0].name, "red", RR_NAME);
+    c->report_s = 0.5;
+    c->lease_s = 10;
+    c->cancel_s = 40;
+    c->state_rps = 2000;
+    c->state_write_rps = 1000;
+    c->value_kb = 8;
+    c->txn_ops = 16;
+    c->cloud_rps = 100;
+    c->list_lag_s = 0.5;
+    c->max_sockets = 500;
+    rr_settings_defaults(&c->tune);
+    c->tune.idle_return_s = 1000;
+    pthread_mutex_lock(&w->lock);
+    w->reports_to = c->bind;
+    pthread_mutex_unlock(&w->lock);
+}
+
+int world_call(const struct rr_config *c, const char *method, const char *path, const void *body,
+               size_t len, rr_doc *doc) {
+    rr_client *client = rr_client_create(NULL);
+    rr_reply reply;
+    struct rr_call call = {.method = method, .to = &c->bind, .path = path, .body = body,
+                           .len = len, .timeout_s = 6, .fresh = true};
+    int rc = rr_client_call(client, &call, &reply);
+    if (rc == 0 && doc) {
+        rr_doc_parse(doc, reply.body->data, reply.body->len);
+    }
+    rr_client_destroy(client);
+    return rc == 0 ? (int)reply.status : -1;
+}
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,30 @@
+/* A stand-in world on loopback for the shell's tests: state service, cloud and one worker behind one
+ * HTTP server, with switches for the failures that the tests script. */
+#ifndef RR_TESTS_WORLD_H
+#define RR_TESTS_WORLD_H
+
+#include "app/app.h"
+
+#include <stdint.h>
+
+typedef struct world world;
+
+world *world_start(void);
+void world_stop(world *w);
+uint16_t world_port(const world *w);
+/* The next commit is carried out, but its answer never comes. */
+void world_drop_next_answer(world *w);
+/* While frozen, open watches wait and show nothing new. */
+void world_freeze_watches(world *w, bool frozen);
+/* While down, every request to the store gets 503. */
+void world_store_down(world *w, bool down);
+unsigned world_tasks(world *w); /* on the worker, not exited */
+unsigned world_rented(world *w);
+
+/* Settings of a controller in this world; ports are free ones. */
+void world_config(world *w, struct rr_config *c, const char *name);
+/* One request to a controller; -1 if there was no answer. *doc may be NULL. */
+int world_call(const struct rr_config *c, const char *method, const char *path, const void *body,
+               size_t len, rr_doc *doc);
+
+#endif
