Cold starts mix images on machines

A machine that is about to fetch an image anyway now comes after one that would gain it, so that more machines are ready for two kinds of work.

--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -28,6 +28,7 @@
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
         m->sim = rr_res_add(rr_machine_cap(c, m), m->used, -1);
+        m->booked_cast = -1;
     }
 }
 
@@ -127,20 +128,31 @@
 /* Sort key, least first. An image that is already there comes before price where the class has an
  * aim on its start, since a fetch can take longer than the aim allows. Elsewhere a fetch makes the
  * room dearer by the time it takes, since the room is held for that long too, and between equals
- * the machine that needs none wins. A machine that failed this job comes last. */
+ * the machine that needs none wins; if all need one, the one that is not about to have this image
+ * anyway: it will be ready for two kinds of work then. A machine that failed this job comes last. */
 struct rank {
-    double trouble, image, cost, fetch, room;
+    double trouble, image, cost, fetch, coming, room;
 };
 
+static bool image_coming(const rr_machine *m, int cast) {
+    for (guint k = 0; k < m->places->len; k++) {
+        if (g_array_index(m->places, rr_place, k).job->cast == cast) {
+            return true;
+        }
+    }
+    return m->booked_cast == cast;
+}
+
 static struct rank rank_of(rr_core *c, const rr_job *j, const rr_machine *m, bool zone_group,
                            double now) {
     rr_res cap = rr_machine_cap(c, m);
     double room = rr_res_room(m->sim, cap);
     bool urgent = rr_objective_for(c, "wait", j->s.lane) != NULL;
-    struct rank r = {0, 0, 0, rr_fetch_time(c, j, m), room};
+    struct rank r = {0, 0, 0, rr_fetch_time(c, j, m), 0, room};
     r.trouble = failed_here(m, j) ? 2 : rr_machine_doubtful(m, now) ? 1 : 0;
     r.image = urgent && r.fetch > 0;
     r.cost = zone_group ? room : rr_machine_price(c, m) * room;
+    r.coming = r.fetch > 0 && image_coming(m, j->cast);
     if (!urgent && j->s.guess_s > 0) {
         r.cost *= 1 + r.fetch / j->s.guess_s;
     }
@@ -160,6 +172,9 @@
     if (fabs(a->fetch - b->fetch) > 1e-9) {
         return a->fetch < b->fetch;
     }
+    if (a->coming != b->coming) {
+        return a->coming < b->coming;
+    }
     return a->room < b->room - 1e-9;
 }
 
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -79,6 +79,7 @@
     int probe_fails;
     /* scratch of one plan or simulation */
     rr_res sim;
+    int booked_cast; /* image of the last task booked here in this plan, -1 */
     void *edit;
     bool emptied;
 };
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -384,6 +384,7 @@
     pl.attempt = c->term.token << 24 | ++c->counter;
     g_array_append_val(e->places, pl);
     m->sim = rr_res_add(m->sim, j->need, -1);
+    m->booked_cast = j->cast;
     rr_res *u = team_used(p, j->team);
     *u = rr_res_add(*u, j->need, 1);
     touch_job(p, j);
