--- a/src/app/app.c
+++ b/src/app/app.c
@@ -77,6 +77,7 @@
     g_queue_init(&a->commits);
     a->core = rr_core_create(&a->cfg);
     rr_core_set_log(a->core, rr_log_line);
+    a->stats = rr_stats_create();
     a->budget = rr_budget_create(a->cfg.state_rps, a->cfg.state_write_rps);
     a->peers = rr_peers_create(&a->cfg, &ev, &a->stop);
     int rc = rr_peers_start(a->peers);
@@ -123,6 +124,7 @@
     rr_peers_stop(a->peers);
     rr_peers_destroy(a->peers);
     g_queue_clear_full(&a->do_queue, (GDestroyNotify)rr_do_free);
+    rr_stats_destroy(a->stats);
     rr_budget_destroy(a->budget);
     rr_core_destroy(a->core);
 }
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -5,6 +5,7 @@
 #include "core/core.h"
 #include "http/door.h"
 #include "peer/peer.h"
+#include "app/stats.h"
 #include "store/store.h"
 
 #include <pthread.h>
@@ -31,10 +32,10 @@
     GQueue commits;            /* struct rr_user_commit* */
     uint64_t barrier_asked, barrier_served; /* polls by turn */
     uint64_t barrier_epoch;
-    bool barrier_failed;
     uint64_t barrier_failed_upto;
 
     rr_budget *budget;
+    rr_stats *stats;
     rr_peers *peers;
     rr_door *door;
     pthread_t threads[80];
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -152,11 +152,31 @@
 
 /* ---- terms ---- */
 
+#define MINUTE_S 60.0
+
+static void log_minute(struct rr_app *a) {
+    char line[160];
+    rr_core_stats st;
+    rr_stats_line(a->stats, line, sizeof line);
+    pthread_mutex_lock(&a->lock);
+    rr_core_get_stats(a->core, &st);
+    pthread_mutex_unlock(&a->lock);
+    rr_log(RR_INFO_LEVEL,
+           "last minute: %s; %u machines (%u not heard), %u jobs open, %u tasks placed, %u waiting, "
+           "%u moves so far",
+           line, st.machines, st.booting, st.jobs_open, st.tasks_placed, st.tasks_waiting, st.moves);
+}
+
 void *rr_duty_term(void *app) {
     struct rr_app *a = app;
     rr_store *s = open_store(a);
     uint64_t seen = 0;
+    double logged = rr_now();
     while (!stopping(a)) {
+        if (rr_now() - logged >= MINUTE_S) {
+            logged = rr_now();
+            log_minute(a);
+        }
         rr_txn t;
         uint64_t epoch;
         rr_txn_init(&t);
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -153,6 +153,7 @@
     double began = rr_now();
     decide_submission(a, rq, rs);
     double took = rr_now() - began;
+    rr_stats_submission(a->stats, rs->status, took);
     if (rs->status >= 500 || took > 0.15) {
         rr_log(RR_DEBUG_LEVEL, "submission answered %d after %.0f ms", rs->status, took * 1000);
     }
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -514,7 +514,6 @@
                 p->seen_at = q->seen_at;
                 p->start_at = q->start_at;
                 p->stop_at = q->stop_at;
-                p->hard_stop = q->hard_stop;
             }
         }
         place_count(c, m, p, 1);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -28,7 +28,6 @@
     double seen_at;  /* when the mirror first showed it */
     double start_at; /* last start sent, 0: none */
     double stop_at;  /* last stop sent, 0: none */
-    bool hard_stop;  /* the last stop left no time to save */
 } rr_place;
 
 struct rr_job {
@@ -63,7 +62,7 @@
     /* observed */
     bool heard;
     rr_report rep; /* newest */
-    double heard_at, direct_at, known_at, direct_bad_until;
+    double heard_at, known_at, direct_bad_until;
     int via;
     GArray *casts; /* int: images it has, oldest first */
     GArray *err_jobs; /* rr_job*: jobs that failed here */
@@ -74,7 +73,7 @@
     double do_next;
     /* steward */
     bool listed, list_failed, to_adopt, hired, give_up;
-    double listed_at, idle_since, probed_at, condemned_at;
+    double listed_at, idle_since, probed_at;
     bool surplus;
     int probe_fails;
     /* scratch of one plan or simulation */
@@ -136,7 +135,8 @@
     double entitled_until, answer_until;
     uint64_t counter; /* for attempts and request names, with the token */
     /* steward */
-    double steward_since, list_at, sim_at, adopt_at;
+    double steward_since, list_at, sim_at;
+    double hired_at; /* wall, when the last rental was asked for */
     uint64_t steward_token;
     bool list_read;
     GArray *arrivals; /* rr_arrival */
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -120,9 +120,6 @@
     m->heard_at = now;
     m->probe_fails = 0;
     m->via = via;
-    if (via < 0) {
-        m->direct_at = now;
-    }
     note_casts(c, m);
     return true;
 }
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -145,7 +145,7 @@
         m->own = false;
         if (!m->recorded) {
             m->to_adopt = true;
-            m->born = m->born > 0 ? m->born : c->adopt_at;
+            m->born = m->born > 0 ? m->born : c->hired_at;
             m->build = rr_names_add(&c->builds, s->build);
             m->ward = rr_names_add(&c->wards, s->ward);
             m->loaners = s->loaners;
@@ -297,7 +297,7 @@
             continue;
         }
         h->tried_at = now;
-        c->adopt_at = wall;
+        c->hired_at = wall;
         g_strlcpy(out->hire, h->name, sizeof out->hire);
         g_strlcpy(out->build, h->build, sizeof out->build);
         g_strlcpy(out->ward, h->ward, sizeof out->ward);
--- a/tests/world.c
+++ b/tests/world.c
@@ -47,7 +47,6 @@
     GArray *tasks;
     uint64_t warrant, tally;
     struct rr_endpoint reports_to;
-    unsigned renew_fails;
 };
 
 static void value_free(gpointer p) {
