--- a/src/core/model.h
+++ b/src/core/model.h
@@ -186,6 +186,9 @@
 
 /* term.c */
 bool rr_in_term(const rr_core *c);
+/* A number that no other attempt has, of whatever controller and term; later ones are higher within
+ * a team. */
+uint64_t rr_next_attempt(rr_core *c);
 bool rr_owns_team(const rr_core *c, int team);
 const char *rr_owner_of(const rr_core *c, const char *what);
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -381,7 +381,7 @@
         return false;
     }
     rr_place pl = {.job = j, .task = task, .tenure = m->rep.tenure};
-    pl.attempt = c->term.token << 24 | ++c->counter;
+    pl.attempt = rr_next_attempt(c);
     g_array_append_val(e->places, pl);
     m->sim = rr_res_add(m->sim, j->need, -1);
     m->booked_cast = j->cast;
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -34,6 +34,18 @@
     return c->loaded && c->tether && s && s->tether == c->tether;
 }
 
+/* Term, place in the term, counter. Without the place two owners of one term used the same numbers,
+ * and a victim marked by its attempt was mistaken for another team's task on the machine. */
+uint64_t rr_next_attempt(rr_core *c) {
+    uint64_t place = 0;
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        if (strcmp(g_array_index(c->term.nodes, rr_session, i).name, c->cfg->node_name) == 0) {
+            place = i;
+        }
+    }
+    return c->term.token << 32 | place << 24 | (++c->counter & 0xffffff);
+}
+
 /* Only an incarnation that the term names and whose lease surely lasts may command. */
 bool rr_core_entitled(const rr_core *c, double now) {
     return rr_in_term(c) && now < c->entitled_until;
--- a/tests/test_core_rules.c
+++ b/tests/test_core_rules.c
@@ -397,6 +397,36 @@
     fx_node_clear(&b);
 }
 
+/* Attempts of two owners in one term never share a number: a replica was once stopped as the victim
+ * of a preemption because another team's batch task had the same one. */
+static void attempts_differ_between_owners(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a, b;
+    const char *const teams[] = {"red", "blue"};
+    uint64_t seen[2] = {0, 0};
+    rr_plan p;
+    fx_node_init(&b, w->store, "n1");
+    fx_sync(w->store, b.core, b.now);
+    fx_join(&b, 9);
+    fx_term(n);
+    fx_node *nodes[2] = {n, &b};
+    for (int t = 0; t < 2; t++) {
+        char ref[16];
+        g_snprintf(ref, sizeof ref, "req-10000%d", t);
+        fx_submit(w->store, &(struct fx_job){.ref = ref, .crew = teams[t], .cpu = 1}, n->now);
+        for (int i = 0; i < 2 && !seen[t]; i++) {
+            fx_sync(w->store, nodes[i]->core, nodes[i]->now);
+            fx_report(nodes[i], "vm-1", "a", false, 1, 1, 1, NULL);
+            fx_plan(nodes[i], &p);
+            rr_plan_clear(&p);
+            seen[t] = fx_booked(w->store, "vm-1", ref, 0);
+        }
+        assert_true(seen[t] != 0);
+    }
+    assert_true(seen[0] != seen[1]);
+    fx_node_clear(&b);
+}
+
 /* A placement guards its job too: a cancellation committed in between voids it. */
 static void cancel_voids_a_planned_start(void **state) {
     struct two *w = *state;
@@ -468,6 +498,7 @@
                                        T(no_answer_that_would_be_dropped),
                                        T(quota_across_an_owner_change),
                                        T(two_owners_one_room),
+                                       T(attempts_differ_between_owners),
                                        T(cancel_voids_a_planned_start),
                                        T(admission),
                                        T(a_new_incarnation_waits_for_its_term)};
