--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -117,7 +117,7 @@
 static void decide_submission(struct rr_app *a, const struct rr_request *rq,
                               struct rr_response *rs) {
     rr_doc doc;
-    rr_submission s;
+    rr_submission s = {0};
     const char *why = "not MessagePack";
     char ref[RR_ID] = "";
     int rc = rr_doc_parse(&doc, rq->body, rq->len);
@@ -134,8 +134,10 @@
     }
     if (rc == 0 && admit == RR_ADMIT_OK) {
         accept_job(a, &s, rs);
+        rr_submission_clear(&s);
         return;
     }
+    rr_submission_clear(&s);
     /* Before a refusal for good: the job may be known where this mirror does not reach yet. */
     if (rr_ref_valid(ref) && answer_known(a, ref, rs)) {
         return;
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -24,6 +24,7 @@
 
 static void job_free(gpointer p) {
     rr_job *j = p;
+    rr_submission_clear(&j->s);
     g_free(j->bits);
     g_free(j->placed);
     if (j->failed_on) {
@@ -307,6 +308,7 @@
             g_clear_pointer(&j->placed, g_free);
             g_clear_pointer(&j->bits, g_free);
         }
+        rr_submission_clear(&j->s);
         j->s = s;
         rr_get_num(v, "at", &j->at);
         rr_get_bool(v, "cancelled", &j->cancelled);
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -60,8 +60,10 @@
         b->via.array.size > RR_BUILDS_MAX) {
         return false;
     }
+    s->builds = g_malloc0(b->via.array.size * sizeof *s->builds);
     for (uint32_t i = 0; i < b->via.array.size; i++) {
         if (!rr_as_text(&b->via.array.ptr[i], s->builds[s->nbuilds], RR_ID)) {
+            rr_submission_clear(s);
             return false;
         }
         s->nbuilds++;
@@ -69,6 +71,12 @@
     return true;
 }
 
+void rr_submission_clear(rr_submission *s) {
+    g_free(s->builds);
+    s->builds = NULL;
+    s->nbuilds = 0;
+}
+
 static bool get_pieces(const msgpack_object *o, uint32_t *out) {
     uint64_t n;
     if (!rr_get_u64(o, "pieces", &n) || n == 0 || n > RR_PIECES_MAX) {
@@ -110,10 +118,10 @@
     s->due_s = -1;
     NEED(!rr_get(o, "due_s") || get_amount(o, "due_s", 0, &s->due_s), "due_s");
     NEED(!rr_get(o, "ward") || get_name(o, "ward", s->ward, sizeof s->ward), "ward");
-    NEED(get_builds(o, s), "builds");
     NEED(rr_get_bool(o, "one_zone", &s->one_zone), "one_zone");
     NEED(rr_get_bool(o, "apart", &s->apart), "apart");
     NEED(rr_get_bool(o, "loaners", &s->loaners), "loaners");
+    NEED(get_builds(o, s), "builds"); /* last: it allocates */
     return 0;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -63,8 +63,8 @@
 
 typedef struct {
     char ref[RR_ID], lane[RR_TEXT], crew[RR_TEXT], cast[RR_TEXT], ward[RR_TEXT];
-    char builds[RR_BUILDS_MAX][RR_ID];
-    int nbuilds; /* 0: any */
+    char (*builds)[RR_ID]; /* owned; jobs are kept for good, and few name any */
+    int nbuilds;           /* 0: any */
     enum rr_shape shape;
     enum rr_rank rank;
     uint32_t pieces;
@@ -73,11 +73,12 @@
     bool one_zone, apart, loaners;
 } rr_submission;
 
-/* 0, or -EINVAL with the field at fault in *field. */
+/* 0, or -EINVAL with the field at fault in *field. rr_submission_clear() after success. */
 int rr_submission_decode(const msgpack_object *o, rr_submission *out, const char **field);
 /* Writes the fields of a submission into an open map. */
 void rr_submission_encode_fields(rr_out *o, const rr_submission *s);
 size_t rr_submission_field_count(const rr_submission *s);
+void rr_submission_clear(rr_submission *s);
 bool rr_ref_valid(const char *ref);
 
 /* ---- workers ---- */
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -126,6 +126,7 @@
     }
     assert_int_equal(rr_doc_parse(&d, odd.buf.data, odd.buf.size), 0);
     int rc = rr_submission_decode(d.root, &s, field);
+    rr_submission_clear(&s);
     rr_doc_clear(&d);
     rr_doc_clear(&whole);
     rr_out_clear(&o);
@@ -242,6 +243,7 @@
                 assert_true(s.vcpus >= 0 && isfinite(s.vcpus));
                 assert_true(rr_ref_valid(s.ref));
             }
+            rr_submission_clear(&s);
             rr_report_decode(d.root, &r);
             rr_report_clear(&r);
             rr_build_decode(d.root, &b);
