--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -674,6 +674,18 @@
     }
 }
 
+#define STRANGER_S 120.0
+
+/* Machines known only from reports that came late, after their records were gone. */
+static void forget_strangers(rr_core *c, double now) {
+    for (guint i = c->machine_list->len; i > 0; i--) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i - 1);
+        if (!m->recorded && !m->to_adopt && !m->do_inflight && rr_silent_for(m, now) > STRANGER_S) {
+            rr_machine_forget(c, m);
+        }
+    }
+}
+
 /* ---- probes ---- */
 
 #define PROBES_MAX 2 /* at a time: a silent zone must not keep the senders from the others */
@@ -776,6 +788,7 @@
     p.results = g_ptr_array_new_with_free_func(result_free);
     p.touched = g_ptr_array_new();
     p.team_used = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    forget_strangers(c, now);
     rr_sim_reset(c);
     for (guint i = 0; i < c->machine_list->len; i++) {
         reconcile(&p, g_ptr_array_index(c->machine_list, i));
--- a/tests/test_core_rules.c
+++ b/tests/test_core_rules.c
@@ -467,6 +467,34 @@
     assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_OK);
 }
 
+/* A report held up by a cut may come after its machine's record went; the machine it brings back is
+ * forgotten again, or a long run would gather them. */
+static void strangers_are_forgotten(void **state) {
+    struct two *w = *state;
+    fx_node *n = &w->a;
+    rr_core_stats st;
+    rr_plan p;
+    rr_job_view v;
+    struct fx_job j = {.ref = "req-000017"};
+    fx_submit(w->store, &j, n->now);
+    fx_sync(w->store, n->core, n->now);
+    fx_report(n, "vm-77", "a", false, 1, 5, 1, "req-000017 0 3 running", NULL);
+    n->now += 200;
+    fx_plan(n, &p);
+    /* Not recorded, it takes no work, and no command goes there. */
+    assert_null(fx_do(&p, "vm-77"));
+    rr_plan_clear(&p);
+    rr_core_get_stats(n->core, &st);
+    assert_int_equal(st.machines, 2);
+    rr_core_job_view(n->core, j.ref, &v);
+    assert_int_equal(v.nrunning, 0);
+    /* Once forgotten, an old report is news again: it is taken as that of a machine never heard. */
+    rr_report r = {.tenure = 1, .tally = 1, .recall_s = -1};
+    g_strlcpy(r.stone, "vm-77", sizeof r.stone);
+    r.pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
+    assert_true(rr_core_report(n->core, n->now, &r, -1));
+}
+
 /* A restarted controller of the same name is not the one the term names. */
 static void a_new_incarnation_waits_for_its_term(void **state) {
     struct two *w = *state;
@@ -501,6 +529,7 @@
                                        T(attempts_differ_between_owners),
                                        T(cancel_voids_a_planned_start),
                                        T(admission),
+                                       T(strangers_are_forgotten),
                                        T(a_new_incarnation_waits_for_its_term)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
