--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -374,6 +374,25 @@
            (t->gpus_max <= 0 || u.gpu <= t->gpus_max + RR_EPS);
 }
 
+/* The guarantee of a team, in a resource it is given none of: 0. */
+static rr_res guarantee_of(const rr_core *c, int team) {
+    if (team < 0 || (size_t)team >= c->cfg->nteams) {
+        return (rr_res){0, 0, 0};
+    }
+    return (rr_res){c->cfg->teams[team].cpus, c->cfg->teams[team].gpus, 0};
+}
+
+/* One more task of the job keeps its team within its guarantee. */
+static bool within_guarantee(struct planner *p, const rr_job *j) {
+    rr_res g = guarantee_of(p->c, j->team), u = rr_res_add(*team_used(p, j->team), j->need, 1);
+    return u.cpu <= g.cpu + RR_EPS && u.gpu <= g.gpu + RR_EPS;
+}
+
+static bool beyond_guarantee(const rr_core *c, int team, rr_res used) {
+    rr_res g = guarantee_of(c, team);
+    return used.cpu > g.cpu + RR_EPS || used.gpu > g.gpu + RR_EPS;
+}
+
 static bool book(struct planner *p, rr_machine *m, rr_job *j, uint32_t task) {
     rr_core *c = p->c;
     struct edit *e = edit_of(p, m);
@@ -447,20 +466,32 @@
 
 #define TIGHT_S 60.0 /* a deadline nearer than this is in danger from a restart */
 
-/* Room for a job of higher rank: which placements of lower rank would have to go from m, and what
- * that loses. */
+/* PROTOCOL's two grounds: lower rank, or work of any rank that another team runs beyond its own
+ * guarantee where this team is owed the room. `taken` is what victims so far give back. */
+static bool may_stop(struct planner *p, const rr_job *j, const rr_place *q, bool owed, rr_res taken) {
+    const rr_job *v = q->job;
+    if (v->s.rank < j->s.rank && v->s.shape == RR_BATCH && rr_objective_for(p->c, "wait", j->s.lane)) {
+        return true;
+    }
+    return owed && v->team >= 0 && v->team != j->team &&
+           beyond_guarantee(p->c, v->team, rr_res_add(*team_used(p, v->team), taken, -1));
+}
+
+/* Room for a job that may preempt: which placements would have to go from m, and what that loses. */
 static bool victims_on(struct planner *p, rr_machine *m, const rr_job *j, bool at_once, GArray *out,
                        double *loss) {
     rr_res room = m->sim;
     const GArray *places = m->edit ? ((struct edit *)m->edit)->places : m->places;
     GArray *lower = g_array_new(FALSE, FALSE, sizeof(struct victim));
+    bool owed = within_guarantee(p, j);
+    rr_res taken = {0, 0, 0};
     *loss = 0;
     g_array_set_size(out, 0);
     for (guint i = 0; i < places->len; i++) {
         const rr_place *q = &g_array_index(places, rr_place, i);
         if (q->evict) {
             room = rr_res_add(room, q->job->need, 1);
-        } else if (q->job->s.rank < j->s.rank && q->job->s.shape == RR_BATCH) {
+        } else if (may_stop(p, j, q, owed, taken)) {
             struct victim v = {q, slack_of(q, p->now, p->wall)};
             g_array_append_val(lower, v);
         }
@@ -469,6 +500,10 @@
     for (guint i = 0; i < lower->len && !rr_res_fits(j->need, room); i++) {
         const struct victim *v = &g_array_index(lower, struct victim, i);
         const rr_place *q = v->place;
+        if (!may_stop(p, j, q, owed, taken)) {
+            continue; /* those before it brought its team back within its guarantee */
+        }
+        taken = rr_res_add(taken, q->job->need, 1);
         bool saves = q->job->s.cairn_s > 0 && !at_once;
         room = rr_res_add(room, q->job->need, 1);
         *loss += 1 + (saves ? q->job->s.stash_s : unsaved(q, p->now));
@@ -570,6 +605,9 @@
         how.separate = false; /* better two on one machine than one not at all */
         m = rr_choose(p->c, j, &how, p->now);
     }
+    if (!m && within_guarantee(p, j)) {
+        return preempt_for(p, j, task, wards, false);
+    }
     return m && book(p, m, j, task);
 }
 
--- a/tests/test_core_design.c
+++ b/tests/test_core_design.c
@@ -252,6 +252,46 @@
     g_free(r1);
 }
 
+/* A team is owed its guarantee: work of any rank that another team runs beyond its own is stopped
+ * for it, but no more than that, and not for work beyond the guarantee. */
+static void a_guarantee_is_given_back(void **state) {
+    struct world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    n->cfg.teams[0].cpus = 8; /* red */
+    n->cfg.teams[1].cpus = 4; /* blue */
+    fx_machine(w->store, "vm-1", "a", false, false);
+    empty_report(n, "vm-1", "a", false, 1);
+    const char *const refs[] = {"req-1", "req-2", "req-3", "req-4"};
+    for (int i = 0; i < 4; i++) {
+        submit(w, &(struct fx_job){.ref = refs[i], .rank = "prod", .service = true, .cpu = 4});
+    }
+    plan_once(n);
+    for (int i = 0; i < 4; i++) {
+        assert_true(fx_booked(w->store, "vm-1", refs[i], 0) != 0);
+    }
+    submit(w, &(struct fx_job){.ref = "req-5", .crew = "blue", .rank = "low", .cpu = 4});
+    submit(w, &(struct fx_job){.ref = "req-6", .crew = "blue", .rank = "prod", .cpu = 4});
+    plan_once(n);
+    bool five = fx_booked(w->store, "vm-1", "req-5", 0) != 0;
+    bool six = fx_booked(w->store, "vm-1", "req-6", 0) != 0;
+    assert_true(five != six);
+    n->now += 2;
+    char *r[4];
+    for (int i = 0; i < 4; i++) {
+        r[i] = running(refs[i], fx_booked(w->store, "vm-1", refs[i], 0));
+    }
+    fx_report(n, "vm-1", "a", false, 1, 9, rr_core_token(n->core), r[0], r[1], r[2], r[3], NULL);
+    fx_plan(n, &p);
+    unsigned stops = 0;
+    for (int i = 0; i < 4; i++) {
+        stops += fx_order(&p, "vm-1", RR_STOP, refs[i], 0) != NULL;
+        g_free(r[i]);
+    }
+    assert_int_equal(stops, 1);
+    rr_plan_clear(&p);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
@@ -262,6 +302,7 @@
                                        T(stale_room_takes_nothing),
                                        T(a_round_empties_a_priced_machine),
                                        T(no_round_for_what_costs_nothing),
-                                       T(preemption_in_order)};
+                                       T(preemption_in_order),
+                                       T(a_guarantee_is_given_back)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
