--- a/src/app/app.c
+++ b/src/app/app.c
@@ -33,8 +33,8 @@
 
 #define GOSSIP_MAX 4 /* peers at most for which reports are passed on a second time */
 
-/* Where two zones can't reach each other a third may reach both: what is news here is passed on once,
- * so that nobody takes a machine for dead that a neighbour hears. */
+/* Where two zones can't reach each other a third may reach both: what is news here is passed on
+ * once, so that nobody takes a machine for dead that a neighbour hears. */
 static void on_peer_report(void *user, int peer, unsigned hops, const void *body, size_t len) {
     struct rr_app *a = user;
     if (rr_app_take_report(a, body, len, peer) && hops == 0 && a->cfg.npeers > 1 &&
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -14,22 +14,23 @@
     struct rr_config cfg;
     atomic_bool stop;
 
-    /* The core and everything below, down to the next blank line, is under `lock`. No I/O under it. */
+    /* The core and everything below, down to the next blank line, is under `lock`. No I/O under it.
+     */
     pthread_mutex_t lock;
     pthread_cond_t mirrored; /* the mirror moved on */
     pthread_cond_t work;     /* planner and steward have something to look at */
     rr_core *core;
-    uint64_t kicks;          /* counts wakes of `work` */
-    bool store_down;         /* the last call of a user's request to the store failed */
+    uint64_t kicks;  /* counts wakes of `work` */
+    bool store_down; /* the last call of a user's request to the store failed */
     double store_ok_at;
-    GQueue do_queue;         /* rr_do* */
+    GQueue do_queue; /* rr_do* */
     pthread_cond_t do_wake;
 
     /* Commits for users, and polls that wait for a barrier: under `user_lock`. */
     pthread_mutex_t user_lock;
-    pthread_cond_t user_wake;  /* the committer and the barrier have work */
-    pthread_cond_t user_done;  /* some are served */
-    GQueue commits;            /* struct rr_user_commit* */
+    pthread_cond_t user_wake;               /* the committer and the barrier have work */
+    pthread_cond_t user_done;               /* some are served */
+    GQueue commits;                         /* struct rr_user_commit* */
     uint64_t barrier_asked, barrier_served; /* polls by turn */
     uint64_t barrier_epoch;
     uint64_t barrier_failed_upto;
@@ -46,12 +47,12 @@
 struct rr_user_commit {
     char key[96];
     rr_out value;
-    uint64_t mark;   /* guard */
-    double until;    /* given up after */
+    uint64_t mark; /* guard */
+    double until;  /* given up after */
     bool finished;
     enum rr_commit outcome;
     uint64_t epoch;
-    bool doubted;    /* an earlier try went unanswered */
+    bool doubted; /* an earlier try went unanswered */
 };
 
 /* 0; -errno if something could not be started (then nothing runs). */
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -122,13 +122,13 @@
 #define ALONE_S 3.0
 
 /* Refused by the state service while a peer reaches it: another should take over now, not when our
- * lease runs out. We stop commanding first, then have the peer end the lease. In an outage for all no
- * peer says yes, and everybody stays. */
+ * lease runs out. We stop commanding first, then have the peer end the lease. In an outage for all
+ * no peer says yes, and everybody stays. */
 static bool resign(struct rr_app *a, uint64_t tether) {
     for (size_t i = 0; i < a->cfg.npeers && !stopping(a); i++) {
         if (rr_peers_resign(a->peers, (int)i, tether, false)) {
-            rr_log(RR_INFO_LEVEL, "state service lost here alone: resigning session %" G_GUINT64_FORMAT,
-                   tether);
+            rr_log(RR_INFO_LEVEL,
+                   "state service lost here alone: resigning session %" G_GUINT64_FORMAT, tether);
             set_session(a, 0, 0);
             rr_peers_resign(a->peers, (int)i, tether, true);
             return true;
@@ -181,10 +181,11 @@
     pthread_mutex_lock(&a->lock);
     rr_core_get_stats(a->core, &st);
     pthread_mutex_unlock(&a->lock);
-    rr_log(RR_INFO_LEVEL,
-           "last minute: %s; %u machines (%u not heard), %u jobs open, %u tasks placed, %u waiting, "
-           "%u moves so far",
-           line, st.machines, st.booting, st.jobs_open, st.tasks_placed, st.tasks_waiting, st.moves);
+    rr_log(
+        RR_INFO_LEVEL,
+        "last minute: %s; %u machines (%u not heard), %u jobs open, %u tasks placed, %u waiting, "
+        "%u moves so far",
+        line, st.machines, st.booting, st.jobs_open, st.tasks_placed, st.tasks_waiting, st.moves);
 }
 
 void *rr_duty_term(void *app) {
@@ -266,8 +267,7 @@
         const msgpack_object *rows = rr_get(d->root, "rows");
         uint64_t epoch = 0;
         more = false;
-        if (!rr_get_u64(d->root, "epoch", &epoch) || !rows ||
-            rows->type != MSGPACK_OBJECT_ARRAY) {
+        if (!rr_get_u64(d->root, "epoch", &epoch) || !rows || rows->type != MSGPACK_OBJECT_ARRAY) {
             rc = -EAGAIN;
             break;
         }
@@ -321,7 +321,8 @@
         char key[256];
         struct row r = {0};
         bool put = rr_get(o, "put") != NULL;
-        if (row_of(o, put ? "put" : "delete", key, sizeof key, &r.mark) && (!put || rr_get(o, "v"))) {
+        if (row_of(o, put ? "put" : "delete", key, sizeof key, &r.mark) &&
+            (!put || rr_get(o, "v"))) {
             r.key = g_string_chunk_insert(keys, key);
             r.value = put ? rr_get(o, "v") : NULL;
             g_array_append_val(rows, r);
@@ -629,7 +630,9 @@
                                      ? RR_DO_ANSWERED
                                      : RR_DO_DOUBT;
     rr_log(RR_DEBUG_LEVEL, "do %s: %u orders, via %d: %s %ld", d->stone, d->orders->len, via,
-           outcome == RR_DO_ANSWERED ? "answered" : outcome == RR_DO_DOUBT ? "in doubt" : "not sent",
+           outcome == RR_DO_ANSWERED ? "answered"
+           : outcome == RR_DO_DOUBT  ? "in doubt"
+                                     : "not sent",
            status);
     pthread_mutex_lock(&a->lock);
     rr_core_do_result(a->core, rr_now(), d, outcome, status == 200);
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -28,8 +28,8 @@
     pthread_mutex_unlock(&a->lock);
 }
 
-/* The job as of some moment after this call began: no node can have told a newer state before. Final
- * states can't change and need no barrier. False: can't be told now. */
+/* The job as of some moment after this call began: no node can have told a newer state before.
+ * Final states can't change and need no barrier. False: can't be told now. */
 static bool view_behind_barrier(struct rr_app *a, const char *ref, rr_job_view *v) {
     view_of(a, ref, v);
     if (v->known && (v->done || v->aborted)) {
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -32,7 +32,8 @@
 /* 0: go on; 1: done, exit 0; 2: bad use. */
 static int read_options(int *argc, char ***argv, struct options *o) {
     GOptionEntry entries[] = {
-        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "The platform's settings (TOML)", "FILE"},
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "The platform's settings (TOML)",
+         "FILE"},
         {"settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings,
          "The operators' own settings; or RINGROCK_SETTINGS in the environment", "FILE"},
         {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -178,14 +178,22 @@
     size_t offset;
 };
 
-#define KNOB(n, d, lo, hi, w) {#n, d, lo, hi, w, offsetof(struct rr_tuning, n)}
+#define KNOB(n, d, lo, hi, w)                                                                      \
+    { #n, d, lo, hi, w, offsetof(struct rr_tuning, n) }
 static const struct knob knobs[] = {
-    KNOB(round_period_s, 12, 1, 86400, false),  KNOB(round_moves, 4, 1, 1000, true),
-    KNOB(session_share, 0.35, 0.05, 0.8, false), KNOB(answer_share, 0.6, 0.05, 0.8, false), KNOB(silent_reports, 2.0, 1.3, 100, false),
-    KNOB(dead_reports, 1.9, 1.5, 1000, false),    KNOB(idle_return_s, 6, 0, 86400, false),
-    KNOB(headroom, 1, 0, 100, false),           KNOB(boot_patience, 2, 1, 100, false),
-    KNOB(cloud_list_s, 4, 0.5, 3600, false),    KNOB(senders, 8, 2, 64, true),
-    KNOB(max_connections, 800, 8, 100000, true), KNOB(plan_pause_ms, 30, 0, 10000, false),
+    KNOB(round_period_s, 12, 1, 86400, false),
+    KNOB(round_moves, 4, 1, 1000, true),
+    KNOB(session_share, 0.35, 0.05, 0.8, false),
+    KNOB(answer_share, 0.6, 0.05, 0.8, false),
+    KNOB(silent_reports, 2.0, 1.3, 100, false),
+    KNOB(dead_reports, 1.9, 1.5, 1000, false),
+    KNOB(idle_return_s, 6, 0, 86400, false),
+    KNOB(headroom, 1, 0, 100, false),
+    KNOB(boot_patience, 2, 1, 100, false),
+    KNOB(cloud_list_s, 4, 0.5, 3600, false),
+    KNOB(senders, 8, 2, 64, true),
+    KNOB(max_connections, 800, 8, 100000, true),
+    KNOB(plan_pause_ms, 30, 0, 10000, false),
 };
 
 static void set_knob(struct rr_tuning *t, const struct knob *k, double v) {
--- a/src/app/stats.c
+++ b/src/app/stats.c
@@ -50,7 +50,8 @@
 void rr_stats_line(rr_stats *s, char *out, size_t size) {
     pthread_mutex_lock(&s->lock);
     if (s->answered) {
-        g_snprintf(out, size, "%u submissions (%u refused), half within %.0f ms, 95%% within %.0f ms",
+        g_snprintf(out, size,
+                   "%u submissions (%u refused), half within %.0f ms, 95%% within %.0f ms",
                    s->answered, s->refused, quantile_ms(s->took, 0.5), quantile_ms(s->took, 0.95));
     } else {
         g_snprintf(out, size, "no submissions");
--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -129,7 +129,8 @@
  * aim on its start, since a fetch can take longer than the aim allows. Elsewhere a fetch makes the
  * room dearer by the time it takes, since the room is held for that long too, and between equals
  * the machine that needs none wins; if all need one, the one that is not about to have this image
- * anyway: it will be ready for two kinds of work then. A machine that failed this job comes last. */
+ * anyway: it will be ready for two kinds of work then. A machine that failed this job comes last.
+ */
 struct rank {
     double trouble, image, cost, fetch, coming, room;
 };
@@ -212,7 +213,8 @@
     int best = -1;
     double most = -1;
     for (guint w = 0; w < n; w++) {
-        /* The share of the zone that is free on its scarcest resource, as the paper scores clusters. */
+        /* The share of the zone that is free on its scarcest resource, as the paper scores
+         * clusters. */
         double r = cap[w].cpu > 0 ? rr_res_room(room[w], cap[w]) : -1;
         if (r > most) {
             most = r;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -37,20 +37,20 @@
 
 /* The operators' own settings (HCL-like file), with defaults and ranges in src/app/settings.c. */
 struct rr_tuning {
-    double round_period_s;    /* pause between re-orchestration rounds */
-    int round_moves;          /* moves a round at most */
-    bool rounds;              /* false: no re-orchestration */
-    double session_share;     /* session time as a share of cancel_s - lease_s */
-    double answer_share;      /* how long reports are answered without a renewal, likewise */
-    double silent_reports;    /* reports missed before a machine takes no new work */
-    double dead_reports;      /* reports missed before a lone silent machine is given up */
-    double idle_return_s;     /* idle time before a rented machine goes back */
-    double headroom;          /* factor on arrivals expected during a boot */
-    double boot_patience;     /* boots longer than this many startup_s are not counted on */
-    double cloud_list_s;      /* pause between machine lists */
-    int senders;              /* threads that carry commands to workers */
-    int max_connections;      /* HTTP connections at most */
-    double plan_pause_ms;     /* least pause between two plans */
+    double round_period_s; /* pause between re-orchestration rounds */
+    int round_moves;       /* moves a round at most */
+    bool rounds;           /* false: no re-orchestration */
+    double session_share;  /* session time as a share of cancel_s - lease_s */
+    double answer_share;   /* how long reports are answered without a renewal, likewise */
+    double silent_reports; /* reports missed before a machine takes no new work */
+    double dead_reports;   /* reports missed before a lone silent machine is given up */
+    double idle_return_s;  /* idle time before a rented machine goes back */
+    double headroom;       /* factor on arrivals expected during a boot */
+    double boot_patience;  /* boots longer than this many startup_s are not counted on */
+    double cloud_list_s;   /* pause between machine lists */
+    int senders;           /* threads that carry commands to workers */
+    int max_connections;   /* HTTP connections at most */
+    double plan_pause_ms;  /* least pause between two plans */
 };
 
 struct rr_config {
@@ -79,7 +79,8 @@
     return c->tune.session_share * (c->cancel_s - c->lease_s);
 }
 
-/* A worker served by a controller that hears of no cancellation must still end in time, so this time
+/* A worker served by a controller that hears of no cancellation must still end in time, so this
+ * time
  * + lease_s + time to stop stays below cancel_s (answer_share is at most 0.8). */
 static inline double rr_answer_s(const struct rr_config *c) {
     return c->tune.answer_share * (c->cancel_s - c->lease_s);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,6 +1,7 @@
 /* The core: the mirrored state and every decision on it. No I/O, no clock, no thread and no lock:
  * the shell hands in events and times and carries out what comes back, one call at a time (src/app
- * holds its lock around each call). Steady times are `now`, times of day `wall`, both in seconds. */
+ * holds its lock around each call). Steady times are `now`, times of day `wall`, both in seconds.
+ */
 #ifndef RR_CORE_CORE_H
 #define RR_CORE_CORE_H
 
@@ -30,8 +31,8 @@
 bool rr_core_loaded(const rr_core *c);
 
 /* ---- sessions and terms ---- */
-/* Our own session: its lease, until when it surely holds (then we may plan), and until when workers'
- * reports may be answered, which is longer. */
+/* Our own session: its lease, until when it surely holds (then we may plan), and until when
+ * workers' reports may be answered, which is longer. */
 void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until, double answer_until);
 bool rr_core_entitled(const rr_core *c, double now);
 /* Whether our node key stands in the mirror with this lease. */
@@ -109,11 +110,11 @@
 };
 typedef struct {
     enum rr_step_kind kind;
-    rr_txn txn;                                          /* TXN */
-    char hire[RR_ID], build[RR_ID], ward[RR_TEXT];       /* HIRE */
+    rr_txn txn;                                    /* TXN */
+    char hire[RR_ID], build[RR_ID], ward[RR_TEXT]; /* HIRE */
     bool loaners;
     int how_many;
-    GPtrArray *stones;                                   /* RELEASE: char* */
+    GPtrArray *stones; /* RELEASE: char* */
 } rr_step;
 void rr_step_init(rr_step *s);
 void rr_step_clear(rr_step *s);
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -331,7 +331,8 @@
 static void put_done(rr_core *c, const char *rest, const msgpack_object *v) {
     char ref[RR_ID], hex[RR_CHUNK / 4 + 1], zone[RR_TEXT];
     uint32_t chunk;
-    if (!rr_piece_parse(rest, ref, sizeof ref, &chunk) || !rr_get_text(v, "bits", hex, sizeof hex)) {
+    if (!rr_piece_parse(rest, ref, sizeof ref, &chunk) ||
+        !rr_get_text(v, "bits", hex, sizeof hex)) {
         return;
     }
     rr_job *j = g_hash_table_lookup(c->jobs, ref);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -37,14 +37,14 @@
     uint64_t mark;
     double at; /* wall, when accepted */
     bool cancelled, done, open;
-    guint8 *bits;      /* done tasks, one bit each; NULL once final */
-    guint8 *placed;    /* placements a task has in the ledger */
+    guint8 *bits;   /* done tasks, one bit each; NULL once final */
+    guint8 *placed; /* placements a task has in the ledger */
     uint32_t ndone, nplaced, hint;
-    int zone; /* of completed tasks of a one-zone job, -1 */
+    int zone;          /* of completed tasks of a one-zone job, -1 */
     GArray *failed_on; /* rr_machine ids (int) where a task failed */
     double hold_until; /* steady; placed no sooner */
     double first_seen; /* steady */
-    bool keep; /* during a full reread */
+    bool keep;         /* during a full reread */
 };
 
 struct rr_machine {
@@ -64,7 +64,7 @@
     rr_report rep; /* newest */
     double heard_at, known_at, direct_bad_until;
     int via;
-    GArray *casts; /* int: images it has, oldest first */
+    GArray *casts;    /* int: images it has, oldest first */
     GArray *err_jobs; /* rr_job*: jobs that failed here */
     double err_at, full_until;
     GHashTable *lost; /* attempts with an unanswered start under lost_token/lost_tenure */
@@ -117,17 +117,17 @@
     rr_names teams, wards, builds, lanes, casts;
     GArray *build_info; /* rr_build, by index; sku empty: not in the catalogue */
     bool catalog_known;
-    double catalog_at;   /* steady, last read from the cloud by this process */
+    double catalog_at;    /* steady, last read from the cloud by this process */
     GArray *fresh_builds; /* rr_build read from the cloud, to be recorded */
-    GHashTable *jobs;    /* ref -> rr_job */
-    GPtrArray *open;     /* rr_job*, not final or with placements */
+    GHashTable *jobs;     /* ref -> rr_job */
+    GPtrArray *open;      /* rr_job*, not final or with placements */
     GHashTable *machines; /* name -> rr_machine */
     GPtrArray *machine_list;
     int next_machine_id;
-    GHashTable *gone;    /* name -> double*: when its record went */
+    GHashTable *gone;     /* name -> double*: when its record went */
     GHashTable *sessions; /* node name -> rr_session */
-    GHashTable *hires;   /* name -> rr_hire */
-    GHashTable *refused; /* "build|ward|kind" -> double*: not before */
+    GHashTable *hires;    /* name -> rr_hire */
+    GHashTable *refused;  /* "build|ward|kind" -> double*: not before */
     rr_term term;
     uint64_t epoch;
     bool loaded, rereading;
@@ -139,8 +139,8 @@
     double hired_at; /* wall, when the last rental was asked for */
     uint64_t steward_token;
     bool list_read;
-    GArray *cut_at;   /* double by ward: when most of it was last silent */
-    GArray *arrivals; /* rr_job* */
+    GArray *cut_at;           /* double by ward: when most of it was last silent */
+    GArray *arrivals;         /* rr_job* */
     GHashTable *stray_failed; /* names listed as failed without a record */
     /* rounds */
     GArray *plan_moves; /* rr_move still to make */
@@ -212,13 +212,14 @@
 /* Estimated time to fetch the job's image there; 0: it has it. */
 double rr_fetch_time(const rr_core *c, const rr_job *j, const rr_machine *m);
 struct rr_choice {
-    const bool *wards;    /* allowed zones */
-    bool separate;        /* no machine that has a task of this job */
+    const bool *wards;      /* allowed zones */
+    bool separate;          /* no machine that has a task of this job */
     const rr_machine *home; /* where it runs now: never refused for its own sake */
-    bool need_cast;       /* only machines that have the image */
+    bool need_cast;         /* only machines that have the image */
     bool (*filter)(const rr_core *c, const rr_machine *m, double now);
 };
-/* The paper's choice for a task: the fitting machine of least price x free room. room: by m->sim. */
+/* The paper's choice for a task: the fitting machine of least price x free room. room: by m->sim.
+ */
 rr_machine *rr_choose(rr_core *c, const rr_job *j, const struct rr_choice *how, double now);
 int rr_zone_most_room(rr_core *c, const rr_job *j, const bool *wards, double now);
 void rr_sim_reset(rr_core *c);
--- a/src/core/names.h
+++ b/src/core/names.h
@@ -11,7 +11,7 @@
 
 void rr_names_init(rr_names *n);
 void rr_names_clear(rr_names *n);
-int rr_names_add(rr_names *n, const char *name); /* the index, old or new */
+int rr_names_add(rr_names *n, const char *name);        /* the index, old or new */
 int rr_names_find(const rr_names *n, const char *name); /* -1: unknown */
 const char *rr_names_at(const rr_names *n, int i);
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -25,13 +25,13 @@
     rr_core *c;
     double now, wall;
     rr_plan *out;
-    GPtrArray *edits;   /* struct edit* */
-    GPtrArray *results; /* struct result_edit* */
-    GPtrArray *touched; /* rr_job*: guarded against a cancellation in between */
+    GPtrArray *edits;      /* struct edit* */
+    GPtrArray *results;    /* struct result_edit* */
+    GPtrArray *touched;    /* rr_job*: guarded against a cancellation in between */
     GHashTable *team_used; /* team -> rr_res* */
-    int ops;            /* changes so far */
-    size_t bytes;       /* their size, roughly */
-    bool full;          /* the transaction takes no more */
+    int ops;               /* changes so far */
+    size_t bytes;          /* their size, roughly */
+    bool full;             /* the transaction takes no more */
 };
 
 void rr_plan_init(rr_plan *p) {
@@ -122,8 +122,7 @@
 }
 
 static bool same_chunk(const struct result_edit *r, uint32_t task) {
-    return r->tasks->len == 0 ||
-           g_array_index(r->tasks, uint32_t, 0) / RR_CHUNK == task / RR_CHUNK;
+    return r->tasks->len == 0 || g_array_index(r->tasks, uint32_t, 0) / RR_CHUNK == task / RR_CHUNK;
 }
 
 static bool result_has(const struct result_edit *r, uint32_t task) {
@@ -468,16 +467,19 @@
 
 /* PROTOCOL's two grounds: lower rank, or work of any rank that another team runs beyond its own
  * guarantee where this team is owed the room. `taken` is what victims so far give back. */
-static bool may_stop(struct planner *p, const rr_job *j, const rr_place *q, bool owed, rr_res taken) {
+static bool may_stop(struct planner *p, const rr_job *j, const rr_place *q, bool owed,
+                     rr_res taken) {
     const rr_job *v = q->job;
-    if (v->s.rank < j->s.rank && v->s.shape == RR_BATCH && rr_objective_for(p->c, "wait", j->s.lane)) {
+    if (v->s.rank < j->s.rank && v->s.shape == RR_BATCH &&
+        rr_objective_for(p->c, "wait", j->s.lane)) {
         return true;
     }
     return owed && v->team >= 0 && v->team != j->team &&
            beyond_guarantee(p->c, v->team, rr_res_add(*team_used(p, v->team), taken, -1));
 }
 
-/* Room for a job that may preempt: which placements would have to go from m, and what that loses. */
+/* Room for a job that may preempt: which placements would have to go from m, and what that loses.
+ */
 static bool victims_on(struct planner *p, rr_machine *m, const rr_job *j, bool at_once, GArray *out,
                        double *loss) {
     rr_res room = m->sim;
@@ -590,13 +592,13 @@
     if (may_preempt(c, j) && preempt_for(p, j, task, how->wards, true)) {
         return true;
     }
-    return m ? book(p, m, j, task) : may_preempt(c, j) && preempt_for(p, j, task, how->wards, false);
+    return m ? book(p, m, j, task)
+             : may_preempt(c, j) && preempt_for(p, j, task, how->wards, false);
 }
 
 static bool place_task(struct planner *p, rr_job *j, uint32_t task, const bool *wards) {
-    struct rr_choice how = {.wards = wards,
-                            .separate = j->s.shape == RR_SERVICE,
-                            .filter = rr_machine_usable};
+    struct rr_choice how = {
+        .wards = wards, .separate = j->s.shape == RR_SERVICE, .filter = rr_machine_usable};
     if (rr_objective_for(p->c, "wait", j->s.lane) && place_urgent(p, j, task, &how)) {
         return true;
     }
@@ -707,8 +709,8 @@
             q->evict = q->attempt == old->attempt ? RR_EVICT_SAVING : q->evict;
         }
         c->moves_made++;
-        rr_log_at(c, RR_LOG_INFO, "move %s/%u from %s to %s", mv.job->s.ref, mv.task,
-                  mv.from->name, mv.to->name);
+        rr_log_at(c, RR_LOG_INFO, "move %s/%u from %s to %s", mv.job->s.ref, mv.task, mv.from->name,
+                  mv.to->name);
     }
 }
 
@@ -736,9 +738,10 @@
         rr_machine *best = NULL;
         for (guint k = 0; k < c->machine_list->len; k++) {
             rr_machine *m = g_ptr_array_index(c->machine_list, k);
-            if (m->recorded && !m->ret && m->addr[0] && !m->do_inflight && (m->heard || m->places->len) &&
-                rr_silent_for(m, p->now) > 1.3 * c->cfg->report_s &&
-                p->now - m->probed_at > PROBE_EVERY_S && (!best || m->probed_at < best->probed_at)) {
+            if (m->recorded && !m->ret && m->addr[0] && !m->do_inflight &&
+                (m->heard || m->places->len) && rr_silent_for(m, p->now) > 1.3 * c->cfg->report_s &&
+                p->now - m->probed_at > PROBE_EVERY_S &&
+                (!best || m->probed_at < best->probed_at)) {
                 best = m;
             }
         }
--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -1,6 +1,6 @@
 /* Re-orchestration: DESIGN's rounds after the paper's two phases. Allocation takes every movable
- * replica off its machine on paper and places all of them anew; the plan counts only if it empties a
- * priced machine, and only the replicas of such machines move. Ordering makes the fitting move of
+ * replica off its machine on paper and places all of them anew; the plan counts only if it empties
+ * a priced machine, and only the replicas of such machines move. Ordering makes the fitting move of
  * least request over the destination's free room first and credits the source. */
 #include "core/model.h"
 
@@ -115,8 +115,7 @@
     bool fixed = j->s.pieces > 1 && (j->s.apart || j->s.one_zone);
     for (guint w = 0; w < n; w++) {
         wards[w] = fixed ? (int)w == it->home->ward
-                         : !j->s.ward[0] ||
-                               strcmp(j->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
+                         : !j->s.ward[0] || strcmp(j->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
     }
     if (!fixed && rr_zone_bound(j)) {
         int z = rr_zone_most_room(c, j, wards, now);
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -1,5 +1,6 @@
 /* The steward: rents for waiting work and headroom, returns what is idle, dead or sick, keeps the
- * machine records in step with the cloud. One step at a time; the shell carries it out and reports. */
+ * machine records in step with the cloud. One step at a time; the shell carries it out and reports.
+ */
 #include "core/model.h"
 
 #include <math.h>
@@ -362,8 +363,8 @@
     if (!m->heard) {
         return now - m->known_at < c->cfg->tune.boot_patience * b->startup_s + 5;
     }
-    return rr_machine_usable(c, m, now) || (rr_machine_fresh(c, m, now) && m->rep.recall_s < 0 &&
-                                            !rr_machine_sick(m));
+    return rr_machine_usable(c, m, now) ||
+           (rr_machine_fresh(c, m, now) && m->rep.recall_s < 0 && !rr_machine_sick(m));
 }
 
 static int machines_in(const rr_core *c, int ward, const GArray *rents) {
@@ -557,7 +558,8 @@
         int n = (int)ceil(c->cfg->tune.headroom * (mean + sqrt(mean)));
         bool wards[c->wards.names->len + 1];
         for (guint w = 0; w < c->wards.names->len; w++) {
-            wards[w] = !last->s.ward[0] || strcmp(last->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
+            wards[w] =
+                !last->s.ward[0] || strcmp(last->s.ward, rr_names_at(&c->wards, (int)w)) == 0;
         }
         credit_preemptible(c, last, o->within_s, now);
         for (int k = 0; k < n && k < 50; k++) {
@@ -589,8 +591,8 @@
             continue;
         }
         rr_out o;
-        g_snprintf(name, sizeof name, "rr-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
-                   c->term.token, ++c->counter);
+        g_snprintf(name, sizeof name, "rr-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, c->term.token,
+                   ++c->counter);
         rr_hire_key(name, key, sizeof key);
         rr_out_init(&o);
         rr_put_map(&o, 4);
--- a/src/core/troubles.c
+++ b/src/core/troubles.c
@@ -11,8 +11,7 @@
 }
 
 bool rr_machine_fresh(const rr_core *c, const rr_machine *m, double now) {
-    return m->heard &&
-           now - m->heard_at <= c->cfg->tune.silent_reports * c->cfg->report_s;
+    return m->heard && now - m->heard_at <= c->cfg->tune.silent_reports * c->cfg->report_s;
 }
 
 /* DESIGN's risk: a cut zone keeps stale reports, so only a fresh one makes room count. */
--- a/src/http/door.c
+++ b/src/http/door.c
@@ -104,8 +104,8 @@
     d->fn = fn;
     d->user = user;
     d->daemon = MHD_start_daemon(
-        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL, NULL,
-        on_request, d, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&a,
+        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL,
+        NULL, on_request, d, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&a,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK, MHD_OPTION_CONNECTION_LIMIT, (unsigned)most,
         MHD_OPTION_CONNECTION_TIMEOUT, 90u, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         (size_t)CONNECTION_MEMORY, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
--- a/src/http/door.h
+++ b/src/http/door.h
@@ -14,9 +14,9 @@
 
 struct rr_response {
     int status;
-    rr_out body;         /* initialised by the door; empty: no body */
-    int retry_after_s;   /* 0: none */
-    const char *allow;   /* with 405 */
+    rr_out body;       /* initialised by the door; empty: no body */
+    int retry_after_s; /* 0: none */
+    const char *allow; /* with 405 */
 };
 
 typedef void (*rr_handler_fn)(void *user, const struct rr_request *rq, struct rr_response *rs);
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -1,5 +1,5 @@
-/* A blocking HTTP client on libcurl's easy interface. One object a thread: it owns a handle with its
- * kept-alive connections and takes no lock. */
+/* A blocking HTTP client on libcurl's easy interface. One object a thread: it owns a handle with
+ * its kept-alive connections and takes no lock. */
 #ifndef RR_NET_CLIENT_H
 #define RR_NET_CLIENT_H
 
@@ -28,7 +28,7 @@
     const void *body; /* NULL: none */
     size_t len;
     double timeout_s;
-    bool fresh;       /* a connection of its own, closed after */
+    bool fresh;        /* a connection of its own, closed after */
     size_t answer_max; /* 0: no bound but memory */
 };
 
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -297,7 +297,7 @@
             peer = peer_index(p, name);
         } else if (type == RR_FRAME_REPORT && peer >= 0 && in->len > 1) {
             p->ev.report(p->ev.user, peer, in->data[0], in->data + 1, in->len - 1);
-        } else if (peer < 0 || (type == RR_FRAME_RELAY   ? serve_relay(c->fd, client, in)
+        } else if (peer < 0 || (type == RR_FRAME_RELAY    ? serve_relay(c->fd, client, in)
                                 : type == RR_FRAME_RESIGN ? serve_resign(p, c->fd, in)
                                                           : -EBADMSG) != 0) {
             break;
@@ -417,8 +417,8 @@
     rr_frame_bytes(f, body, (uint32_t)len);
     rr_frame_end(f);
     rc = -EIO;
-    if (send_all(fd, f->data, f->len) != 0 ||
-        recv_frame(p, fd, &type, f, timeout_s + 1) != 0 || type != RR_FRAME_ANSWER) {
+    if (send_all(fd, f->data, f->len) != 0 || recv_frame(p, fd, &type, f, timeout_s + 1) != 0 ||
+        type != RR_FRAME_ANSWER) {
         goto end;
     }
     rr_unpack u = {f->data, f->len, false};
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -14,8 +14,8 @@
     /* A peer heard this report, itself (hops 0) or from another peer (1). Called on a connection's
      * thread; body is borrowed. */
     void (*report)(void *user, int peer, unsigned hops, const void *body, size_t len);
-    /* A peer that has lost the state service asks whether we have it (end false), or to end its lease
-     * for it. True: yes, or done. */
+    /* A peer that has lost the state service asks whether we have it (end false), or to end its
+     * lease for it. True: yes, or done. */
     bool (*resign)(void *user, uint64_t tether, bool end);
 };
 
@@ -36,8 +36,8 @@
     long status;
     GByteArray *body; /* owned by the caller */
 } rr_relayed;
-/* Has peer i call the worker. 0: the worker answered; -ENOTCONN: surely not sent to it (*asked tells
- * whether the peer itself was reached); else in doubt. */
+/* Has peer i call the worker. 0: the worker answered; -ENOTCONN: surely not sent to it (*asked
+ * tells whether the peer itself was reached); else in doubt. */
 int rr_peers_relay(rr_peers *p, int peer, const char *addr, const void *body, size_t len,
                    double timeout_s, rr_relayed *out, bool *asked);
 
--- a/src/wire/doc.c
+++ b/src/wire/doc.c
@@ -117,7 +117,8 @@
     }
     size_t off = 0;
     doc->copy = g_memdup2(data, len);
-    if (msgpack_unpack_next(&doc->up, doc->copy, len, &off) != MSGPACK_UNPACK_SUCCESS || off != len) {
+    if (msgpack_unpack_next(&doc->up, doc->copy, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+        off != len) {
         return -EBADMSG;
     }
     doc->root = &doc->up.data;
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -209,8 +209,14 @@
 
 void fx_build(fx_store *s, const char *sku, double cpu, double gpu, double mem, double price,
               double spot) {
-    rr_build b = {.vcpus = cpu, .cards = gpu, .mem_gb = mem, .cache_gb = 100, .pull_rate = 1,
-                  .price = price, .spot_price = spot, .startup_s = 30};
+    rr_build b = {.vcpus = cpu,
+                  .cards = gpu,
+                  .mem_gb = mem,
+                  .cache_gb = 100,
+                  .pull_rate = 1,
+                  .price = price,
+                  .spot_price = spot,
+                  .startup_s = 30};
     char key[128];
     rr_out o;
     g_strlcpy(b.sku, sku, sizeof b.sku);
@@ -298,8 +304,8 @@
 
 static void add_piece(rr_report *r, const char *text) {
     static const char *const standings[] = {"fetching", "running", "flushing", "ended"};
-    static const char *const causes[] = {"", "done", "halted", "error", "full", "in_use",
-                                         "no_such"};
+    static const char *const causes[] = {"",     "done",   "halted", "error",
+                                         "full", "in_use", "no_such"};
     rr_piece p = {0};
     char **f = g_strsplit(text, " ", 4);
     char **sc = g_strsplit(f[3], ":", 2);
@@ -319,8 +325,8 @@
 
 void fx_report(fx_node *n, const char *id, const char *ward, bool loaners, uint64_t tenure,
                uint64_t tally, uint64_t warrant, ...) {
-    rr_report r = {.loaners = loaners, .tenure = tenure, .tally = tally, .warrant = warrant,
-                   .recall_s = -1};
+    rr_report r = {
+        .loaners = loaners, .tenure = tenure, .tally = tally, .warrant = warrant, .recall_s = -1};
     va_list ap;
     const char *text;
     g_strlcpy(r.stone, id, sizeof r.stone);
--- a/tests/test_core_design.c
+++ b/tests/test_core_design.c
@@ -230,7 +230,8 @@
     rr_plan p;
     fx_machine(w->store, "vm-1", "a", false, false);
     empty_report(n, "vm-1", "a", false, 1);
-    submit(w, &(struct fx_job){.ref = "req-1", .rank = "low", .cpu = 16, .cairn_s = 30, .stash_s = 2});
+    submit(w,
+           &(struct fx_job){.ref = "req-1", .rank = "low", .cpu = 16, .cairn_s = 30, .stash_s = 2});
     plan_once(n);
     uint64_t low = fx_booked(w->store, "vm-1", "req-1", 0);
     char *r1 = running("req-1", low);
@@ -295,14 +296,11 @@
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
-    const struct CMUnitTest tests[] = {T(fullest_machine_first),
-                                       T(cheap_machines_for_those_who_may),
-                                       T(zone_group_to_the_emptier_zone),
-                                       T(spread_over_zones_and_machines),
-                                       T(stale_room_takes_nothing),
-                                       T(a_round_empties_a_priced_machine),
-                                       T(no_round_for_what_costs_nothing),
-                                       T(preemption_in_order),
-                                       T(a_guarantee_is_given_back)};
+    const struct CMUnitTest tests[] = {
+        T(fullest_machine_first),           T(cheap_machines_for_those_who_may),
+        T(zone_group_to_the_emptier_zone),  T(spread_over_zones_and_machines),
+        T(stale_room_takes_nothing),        T(a_round_empties_a_priced_machine),
+        T(no_round_for_what_costs_nothing), T(preemption_in_order),
+        T(a_guarantee_is_given_back)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_core_rules.c
+++ b/tests/test_core_rules.c
@@ -334,7 +334,8 @@
     rr_report_clear(&r);
 }
 
-/* The limit holds across a change of owner: what the old owner booked counts, proven gone or not. */
+/* The limit holds across a change of owner: what the old owner booked counts, proven gone or not.
+ */
 static void quota_across_an_owner_change(void **state) {
     struct two *w = *state;
     fx_node *n = &w->a;
@@ -460,7 +461,8 @@
     fx_submit(w->store, &j, n->now);
     fx_sync(w->store, n->core, n->now);
     assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_KNOWN);
-    fx_submission(&s, &(struct fx_job){.ref = "req-000016", .service = true, .pieces = 3, .gpu = 1});
+    fx_submission(&s,
+                  &(struct fx_job){.ref = "req-000016", .service = true, .pieces = 3, .gpu = 1});
     n->cfg.teams[0].gpus_max = 2;
     assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_NEVER);
     s.shape = RR_BATCH;
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -28,7 +28,8 @@
 
 /* Runs steps until one of this kind comes; transactions are committed, lists and the catalogue
  * answered with what is given. */
-static bool step_until(struct world *w, enum rr_step_kind kind, const GArray *stones, rr_step *out) {
+static bool step_until(struct world *w, enum rr_step_kind kind, const GArray *stones,
+                       rr_step *out) {
     fx_node *n = &w->n;
     GArray *none = g_array_new(FALSE, FALSE, sizeof(rr_stone));
     GArray *builds = g_array_new(FALSE, FALSE, sizeof(rr_build));
@@ -320,7 +321,12 @@
     fx_node *n = &w->n;
     rr_step s;
     GArray *builds = g_array_new(FALSE, TRUE, sizeof(rr_build));
-    rr_build b = {.sku = "m2", .vcpus = 8, .cards = 1, .mem_gb = 32, .price = 3, .spot_price = 1,
+    rr_build b = {.sku = "m2",
+                  .vcpus = 8,
+                  .cards = 1,
+                  .mem_gb = 32,
+                  .price = 3,
+                  .spot_price = 1,
                   .startup_s = 20};
     b.wards = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(b.wards, g_strdup("a"));
@@ -361,8 +367,8 @@
     fx_plan(n, &p);
     rr_plan_clear(&p);
     /* req-1 is held back; req-3 finds a machine: the other three are not blamed for req-1. */
-    assert_true(fx_booked(w->store, "vm-2", "req-3", 0) || fx_booked(w->store, "vm-3", "req-3", 0) ||
-                fx_booked(w->store, "vm-4", "req-3", 0));
+    assert_true(fx_booked(w->store, "vm-2", "req-3", 0) ||
+                fx_booked(w->store, "vm-3", "req-3", 0) || fx_booked(w->store, "vm-4", "req-3", 0));
     for (int i = 0; i < 4; i++) {
         assert_true(fx_booked(w->store, ids[i], "req-1", 0) == 0);
     }
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -53,7 +53,8 @@
 static int submit(const struct rr_app *a, const char *ref, uint32_t pieces, bool service) {
     rr_submission sub;
     rr_out o;
-    fx_submission(&sub, &(struct fx_job){.ref = ref, .pieces = pieces, .cpu = 1, .service = service});
+    fx_submission(&sub,
+                  &(struct fx_job){.ref = ref, .pieces = pieces, .cpu = 1, .service = service});
     rr_out_init(&o);
     rr_put_map(&o, rr_submission_field_count(&sub));
     rr_submission_encode_fields(&o, &sub);
@@ -203,12 +204,9 @@
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
-    const struct CMUnitTest tests[] = {T(runs_an_array_and_cancels_a_service),
-                                       T(bad_requests),
-                                       T(an_unanswered_commit),
-                                       T(no_older_answer_elsewhere),
-                                       T(an_outage),
-                                       T(a_restart_goes_on)};
+    const struct CMUnitTest tests[] = {
+        T(runs_an_array_and_cancels_a_service), T(bad_requests), T(an_unanswered_commit),
+        T(no_older_answer_elsewhere),           T(an_outage),    T(a_restart_goes_on)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -30,7 +30,8 @@
     return path;
 }
 
-static int load(const char *platform, const char *own, struct rr_config *c, char *err, size_t size) {
+static int load(const char *platform, const char *own, struct rr_config *c, char *err,
+                size_t size) {
     char *p = write_temp(platform), *o = own ? write_temp(own) : NULL;
     int rc = rr_settings_load(p, o, c, err, size);
     unlink(p);
@@ -103,9 +104,9 @@
     (void)state;
     struct rr_config c;
     char err[256] = "";
-    assert_int_equal(load(base, "round_period_s = 12.5\nround_moves = 2\nrounds = false\n", &c, err,
-                          sizeof err),
-                     0);
+    assert_int_equal(
+        load(base, "round_period_s = 12.5\nround_moves = 2\nrounds = false\n", &c, err, sizeof err),
+        0);
     assert_true(c.tune.round_period_s == 12.5);
     assert_int_equal(c.tune.round_moves, 2);
     assert_false(c.tune.rounds);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -15,8 +15,10 @@
 /* Five bytes that declare four billion elements must not make libmsgpack allocate them. */
 static void huge_lengths_cost_nothing(void **state) {
     (void)state;
-    static const uint8_t heads[][5] = {{0xdd, 0xff, 0xff, 0xff, 0xff}, {0xdf, 0xff, 0xff, 0xff, 0xff},
-                                       {0xdb, 0xff, 0xff, 0xff, 0xff}, {0xc6, 0xff, 0xff, 0xff, 0xff},
+    static const uint8_t heads[][5] = {{0xdd, 0xff, 0xff, 0xff, 0xff},
+                                       {0xdf, 0xff, 0xff, 0xff, 0xff},
+                                       {0xdb, 0xff, 0xff, 0xff, 0xff},
+                                       {0xc6, 0xff, 0xff, 0xff, 0xff},
                                        {0xc9, 0xff, 0xff, 0xff, 0xff}};
     for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++) {
         assert_int_equal(parse(heads[i], 5), -EBADMSG);
@@ -37,7 +39,8 @@
 static void a_document_keeps_its_text(void **state) {
     (void)state;
     char buf[] = "\x81\xa1k\xa3"
-                 "abc", out[8];
+                 "abc",
+         out[8];
     rr_doc d;
     assert_int_equal(rr_doc_parse(&d, buf, sizeof buf - 1), 0);
     memset(buf, 'x', sizeof buf);
@@ -136,10 +139,11 @@
 
 static void bad_fields_are_named(void **state) {
     (void)state;
-    static const char *const needed[] = {"ref", "lane", "crew", "shape", "rank", "pieces", "vcpus",
-                                         "cards", "mem_gb", "cast", "pull_gb", "one_zone", "apart",
-                                         "loaners", "guess_s", "cairn_s", "stash_s"};
-    static const char *const amounts[] = {"vcpus", "cards", "mem_gb", "pull_gb", "guess_s", "due_s"};
+    static const char *const needed[] = {
+        "ref",  "lane",    "crew",     "shape", "rank",    "pieces",  "vcpus",   "cards",  "mem_gb",
+        "cast", "pull_gb", "one_zone", "apart", "loaners", "guess_s", "cairn_s", "stash_s"};
+    static const char *const amounts[] = {"vcpus",   "cards",   "mem_gb",
+                                          "pull_gb", "guess_s", "due_s"};
     const char *field;
     for (size_t i = 0; i < G_N_ELEMENTS(needed); i++) {
         assert_int_equal(decode_with(needed[i], MISSING, &field), -EINVAL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -242,8 +242,15 @@
 /* ---- cloud and worker ---- */
 
 static int catalog(rr_out *out) {
-    rr_build b = {.sku = "m1", .vcpus = 16, .cards = 4, .mem_gb = 64, .cache_gb = 50,
-                  .pull_rate = 1, .price = 3, .spot_price = 1, .startup_s = 1};
+    rr_build b = {.sku = "m1",
+                  .vcpus = 16,
+                  .cards = 4,
+                  .mem_gb = 64,
+                  .cache_gb = 50,
+                  .pull_rate = 1,
+                  .price = 3,
+                  .spot_price = 1,
+                  .startup_s = 1};
     b.wards = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(b.wards, g_strdup("a"));
     rr_put_map(out, 1);
@@ -378,8 +385,12 @@
             rr_out_clear(&o);
             break;
         }
-        struct rr_call call = {.method = "POST", .to = &to, .path = "/hello", .body = o.buf.data,
-                               .len = o.buf.size, .timeout_s = 2};
+        struct rr_call call = {.method = "POST",
+                               .to = &to,
+                               .path = "/hello",
+                               .body = o.buf.data,
+                               .len = o.buf.size,
+                               .timeout_s = 2};
         if (up && rr_client_call(c, &call, &reply) == 0 && reply.status == 200) {
             rr_doc d;
             if (rr_doc_parse(&d, reply.body->data, reply.body->len) == 0) {
@@ -604,8 +615,13 @@
                size_t len, rr_doc *doc) {
     rr_client *client = rr_client_create(NULL);
     rr_reply reply;
-    struct rr_call call = {.method = method, .to = &c->bind, .path = path, .body = body,
-                           .len = len, .timeout_s = 6, .fresh = true};
+    struct rr_call call = {.method = method,
+                           .to = &c->bind,
+                           .path = path,
+                           .body = body,
+                           .len = len,
+                           .timeout_s = 6,
+                           .fresh = true};
     int rc = rr_client_call(client, &call, &reply);
     if (rc == 0 && doc) {
         rr_doc_parse(doc, reply.body->data, reply.body->len);
