Code that later changes left dead goes; one fixture for the core's tests

The relay's "asked" served probes through peers, which every controller now makes itself; an admission code, a lookup and a reread mark were never used. The three core tests shared their set-up by copy. Behaviour and assertions unchanged.

--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -603,7 +603,7 @@
     rr_out o;
     rr_reply reply = {0};
     rr_relayed relayed = {0};
-    bool asked, ok = false;
+    bool ok = false;
     long status = 0;
     int rc = -ENOTCONN, via = d->via;
     rr_out_init(&o);
@@ -619,7 +619,7 @@
         }
     }
     if (via >= 0) {
-        rc = rr_peers_relay(a->peers, via, d->addr, o.buf.data, o.buf.size, 2.0, &relayed, &asked);
+        rc = rr_peers_relay(a->peers, via, d->addr, o.buf.data, o.buf.size, 2.0, &relayed);
         if (rc == 0) {
             status = relayed.status;
             ok = take_answer(a, relayed.body->data, relayed.body->len, via);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -44,10 +44,9 @@
 unsigned rr_core_live(const rr_core *c);
 uint64_t rr_core_token(const rr_core *c);
 bool rr_core_is_steward(const rr_core *c, double now);
-bool rr_core_node_live(const rr_core *c, const char *name);
 
 /* ---- users ---- */
-enum rr_admit { RR_ADMIT_OK, RR_ADMIT_KNOWN, RR_ADMIT_NEVER, RR_ADMIT_UNKNOWN_YET, RR_ADMIT_BUSY };
+enum rr_admit { RR_ADMIT_OK, RR_ADMIT_KNOWN, RR_ADMIT_NEVER, RR_ADMIT_UNKNOWN_YET };
 enum rr_admit rr_core_admit(const rr_core *c, const rr_submission *s, const char **why);
 typedef struct {
     bool known, done, aborted;
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -294,7 +294,6 @@
         return;
     }
     j->mark = mark;
-    j->keep = true;
     if (rr_get(v, "final")) {
         put_final(j, v);
         j->team = rr_names_add(&c->teams, j->s.crew);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -44,7 +44,6 @@
     GArray *failed_on; /* rr_machine ids (int) where a task failed */
     double hold_until; /* steady; placed no sooner */
     double first_seen; /* steady */
-    bool keep;         /* during a full reread */
 };
 
 struct rr_machine {
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -51,10 +51,6 @@
     return rr_in_term(c) && now < c->entitled_until;
 }
 
-bool rr_core_node_live(const rr_core *c, const char *name) {
-    return term_node(c, name) != NULL;
-}
-
 unsigned rr_core_live(const rr_core *c) {
     return c->term.nodes->len;
 }
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -401,11 +401,10 @@
 }
 
 int rr_peers_relay(rr_peers *p, int peer, const char *addr, const void *body, size_t len,
-                   double timeout_s, rr_relayed *out, bool *asked) {
+                   double timeout_s, rr_relayed *out) {
     GByteArray *f = g_byte_array_new();
     int rc = -ENOTCONN;
     uint8_t type;
-    *asked = false;
     out->body = NULL;
     int fd = dial_peer(p, peer, f);
     if (fd < 0) {
@@ -429,7 +428,6 @@
     if (u.bad) {
         goto end;
     }
-    *asked = true;
     rc = how == 0 ? 0 : how == 1 ? -ENOTCONN : -EIO;
     if (rc == 0) {
         out->body = g_byte_array_new();
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -36,9 +36,9 @@
     long status;
     GByteArray *body; /* owned by the caller */
 } rr_relayed;
-/* Has peer i call the worker. 0: the worker answered; -ENOTCONN: surely not sent to it (*asked
- * tells whether the peer itself was reached); else in doubt. */
+/* Has peer i call the worker. 0: the worker answered; -ENOTCONN: surely not sent to it; else in
+ * doubt. */
 int rr_peers_relay(rr_peers *p, int peer, const char *addr, const void *body, size_t len,
-                   double timeout_s, rr_relayed *out, bool *asked);
+                   double timeout_s, rr_relayed *out);
 
 #endif
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -396,3 +396,21 @@
     }
     return NULL;
 }
+
+int fx_world_setup(void **state) {
+    fx_world *w = g_new0(fx_world, 1);
+    w->store = fx_store_create();
+    fx_build(w->store, "m1", 16, 4, 64, 10, 4);
+    fx_node_init(&w->n, w->store, "n0");
+    fx_join(&w->n, 7);
+    *state = w;
+    return 0;
+}
+
+int fx_world_teardown(void **state) {
+    fx_world *w = *state;
+    fx_node_clear(&w->n);
+    fx_store_destroy(w->store);
+    g_free(w);
+    return 0;
+}
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -38,6 +38,13 @@
 void fx_config(struct rr_config *c, const char *name);
 void fx_node_init(fx_node *n, fx_store *s, const char *name);
 void fx_node_clear(fx_node *n);
+/* The fixture of the core's tests: one controller in its first term, one machine type. */
+typedef struct {
+    fx_store *store;
+    fx_node n;
+} fx_world;
+int fx_world_setup(void **state);
+int fx_world_teardown(void **state);
 /* Registers a session with this lease and lets the node make the next term. */
 void fx_join(fx_node *n, uint64_t tether);
 void fx_leave(fx_node *n);
--- a/tests/test_core_design.c
+++ b/tests/test_core_design.c
@@ -4,29 +4,6 @@
 
 #include <string.h>
 
-struct world {
-    fx_store *store;
-    fx_node n;
-};
-
-static int setup(void **state) {
-    struct world *w = g_new0(struct world, 1);
-    w->store = fx_store_create();
-    fx_build(w->store, "m1", 16, 4, 64, 10, 4);
-    fx_node_init(&w->n, w->store, "n0");
-    fx_join(&w->n, 7);
-    *state = w;
-    return 0;
-}
-
-static int teardown(void **state) {
-    struct world *w = *state;
-    fx_node_clear(&w->n);
-    fx_store_destroy(w->store);
-    g_free(w);
-    return 0;
-}
-
 static void empty_report(fx_node *n, const char *id, const char *ward, bool spot, uint64_t tally) {
     fx_report(n, id, ward, spot, 1, tally, rr_core_token(n->core), NULL);
 }
@@ -40,14 +17,14 @@
     rr_plan_clear(&p);
 }
 
-static void submit(struct world *w, const struct fx_job *j) {
+static void submit(fx_world *w, const struct fx_job *j) {
     fx_submit(w->store, j, w->n.now);
     fx_sync(w->store, w->n.core, w->n.now);
 }
 
 /* vm-1 holds 8 of 16 CPUs, so price x room is 5 there and 10 on the empty vm-2. */
 static void fullest_machine_first(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_machine(w->store, "vm-1", "a", false, false);
     fx_machine(w->store, "vm-2", "a", false, false);
     empty_report(&w->n, "vm-1", "a", false, 1);
@@ -62,7 +39,7 @@
 
 /* Spot 4 x 1 beats ordinary 10 x 1, but only for jobs that may use it. */
 static void cheap_machines_for_those_who_may(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_machine(w->store, "vm-1", "a", false, false);
     fx_machine(w->store, "vm-2", "a", true, false);
     empty_report(&w->n, "vm-1", "a", false, 1);
@@ -77,7 +54,7 @@
 /* A group bound to one zone goes, whole, to the zone with most free room. Zone b has two empty
  * machines of two; zone a one empty and one half full. */
 static void zone_group_to_the_emptier_zone(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_machine(w->store, "vm-1", "a", false, false);
     empty_report(&w->n, "vm-1", "a", false, 1);
     submit(w, &(struct fx_job){.ref = "req-1", .cpu = 8});
@@ -102,7 +79,7 @@
 
 /* At most half of the tasks, rounded up, in one zone, and replicas on machines of their own. */
 static void spread_over_zones_and_machines(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     const char *ids[] = {"vm-1", "vm-2", "vm-3", "vm-4"};
     for (int i = 0; i < 4; i++) {
         fx_machine(w->store, ids[i], i < 3 ? "a" : "b", false, false);
@@ -127,7 +104,7 @@
 
 /* Only a fresh report makes room count (the design's named risk: a cut zone's stale room). */
 static void stale_room_takes_nothing(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_machine(w->store, "vm-1", "a", false, false);
     empty_report(&w->n, "vm-1", "a", false, 1);
     w->n.now += 7;
@@ -148,7 +125,7 @@
  * moving its replica: destination booked first, then the old copy stopped, the new one started only
  * once the old is gone. */
 static void a_round_empties_a_priced_machine(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_plan p;
     fx_machine(w->store, "vm-1", "a", false, false);
@@ -196,7 +173,7 @@
 /* Standing machines cost nothing (the paper's private cluster): emptying one saves nothing, so no
  * round acts for it. */
 static void no_round_for_what_costs_nothing(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_core_stats st;
     fx_machine(w->store, "vm-1", "a", false, true);
@@ -225,7 +202,7 @@
 /* Higher rank with an aim on its start takes room from lower: the victim is marked in the ledger
  * and may save, and the new task starts only when the ledger shows room. */
 static void preemption_in_order(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_plan p;
     fx_machine(w->store, "vm-1", "a", false, false);
@@ -256,7 +233,7 @@
 /* A team is owed its guarantee: work of any rank that another team runs beyond its own is stopped
  * for it, but no more than that, and not for work beyond the guarantee. */
 static void a_guarantee_is_given_back(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_plan p;
     n->cfg.teams[0].cpus = 8; /* red */
@@ -293,7 +270,7 @@
     rr_plan_clear(&p);
 }
 
-#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+#define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
     const struct CMUnitTest tests[] = {
--- a/tests/test_core_rules.c
+++ b/tests/test_core_rules.c
@@ -3,40 +3,24 @@
 
 #include <string.h>
 
-struct two {
-    fx_store *store;
-    fx_node a;
-};
-
+/* The fixture, with a machine in each zone. */
 static int setup(void **state) {
-    struct two *w = g_new0(struct two, 1);
-    w->store = fx_store_create();
-    fx_build(w->store, "m1", 16, 4, 64, 10, 4);
-    fx_node_init(&w->a, w->store, "n0");
-    fx_join(&w->a, 7);
+    fx_world_setup(state);
+    fx_world *w = *state;
     fx_machine(w->store, "vm-1", "a", false, false);
     fx_machine(w->store, "vm-2", "b", false, false);
-    fx_sync(w->store, w->a.core, w->a.now);
-    *state = w;
-    return 0;
-}
-
-static int teardown(void **state) {
-    struct two *w = *state;
-    fx_node_clear(&w->a);
-    fx_store_destroy(w->store);
-    g_free(w);
+    fx_sync(w->store, w->n.core, w->n.now);
     return 0;
 }
 
 /* Both machines report empty; the job is booked on one of them, whose id comes back. */
-static const char *book_one(struct two *w, const struct fx_job *j, uint64_t *attempt) {
+static const char *book_one(fx_world *w, const struct fx_job *j, uint64_t *attempt) {
     rr_plan p;
-    fx_report(&w->a, "vm-1", "a", false, 1, 1, rr_core_token(w->a.core), NULL);
-    fx_report(&w->a, "vm-2", "b", false, 1, 1, rr_core_token(w->a.core), NULL);
-    fx_submit(w->store, j, w->a.now);
-    fx_sync(w->store, w->a.core, w->a.now);
-    assert_int_equal(fx_plan(&w->a, &p), 1);
+    fx_report(&w->n, "vm-1", "a", false, 1, 1, rr_core_token(w->n.core), NULL);
+    fx_report(&w->n, "vm-2", "b", false, 1, 1, rr_core_token(w->n.core), NULL);
+    fx_submit(w->store, j, w->n.now);
+    fx_sync(w->store, w->n.core, w->n.now);
+    assert_int_equal(fx_plan(&w->n, &p), 1);
     /* Nothing is started before the booking is recorded. */
     assert_int_equal(p.dos->len, 0);
     rr_plan_clear(&p);
@@ -61,8 +45,8 @@
  * nothing; the task is started and stopped under the same token, so that an exited attempt blocks
  * the late copy, and that attempt is not reaped before the next term. */
 static void late_start_after_reassignment(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000001", .service = true};
     uint64_t at;
     rr_plan p;
@@ -107,8 +91,8 @@
 /* A task's completion is recorded, in one transaction with the end of its booking, before the
  * worker is told to forget it: a crash in between finds it in the report again. */
 static void done_is_recorded_before_reap(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000002"};
     uint64_t at;
     rr_plan p;
@@ -136,8 +120,8 @@
 
 /* A job of several tasks is not done before its last one. */
 static void not_done_before_all_tasks(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000003", .pieces = 2, .cpu = 1};
     uint64_t at;
     rr_plan p;
@@ -156,8 +140,8 @@
 /* A transaction planned under the old term changes nothing once there is a new one, however late it
  * is applied. */
 static void old_owner_changes_nothing(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a, b;
+    fx_world *w = *state;
+    fx_node *n = &w->n, b;
     struct fx_job j = {.ref = "req-000004"};
     rr_plan p;
     fx_report(n, "vm-1", "a", false, 1, 1, rr_core_token(n->core), NULL);
@@ -178,8 +162,8 @@
 /* Commands were in flight when the term changed. The new owner takes no absence as proof until the
  * worker has shown the new token, since only that voids them. */
 static void term_change_with_commands_in_flight(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000005", .service = true};
     uint64_t at, old = rr_core_token(n->core);
     rr_plan p;
@@ -204,8 +188,8 @@
 /* A machine that only fell silent keeps its tasks in the ledger; they are placed anew once its
  * record is gone. */
 static void silence_proves_nothing(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000006", .service = true};
     uint64_t at;
     rr_plan p;
@@ -231,8 +215,8 @@
 
 /* A worker whose lease ran out forgot its tasks: the booking of the earlier tenure goes. */
 static void later_tenure_ends_the_booking(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000007", .service = true};
     uint64_t at;
     rr_plan p;
@@ -246,8 +230,8 @@
 
 /* A report that was held up on the way is older than what is known and proves nothing. */
 static void late_report_is_dropped(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000008", .service = true};
     uint64_t at;
     rr_plan p;
@@ -265,8 +249,8 @@
 
 /* Cancelled with its start in flight: no new start, and the booking stands until the answer. */
 static void cancel_with_start_in_flight(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000009", .service = true};
     uint64_t at;
     rr_plan p, q;
@@ -294,8 +278,8 @@
 
 /* Any controller that is asked adds the stops of cancelled jobs to its answer. */
 static void every_answer_stops_cancelled_tasks(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000010", .service = true};
     uint64_t at;
     book_one(w, &j, &at);
@@ -317,8 +301,8 @@
 /* A 200 with a lower token would be dropped by the worker, which would then stay here until its
  * lease runs out; and a node whose session has lapsed may not answer at all. */
 static void no_answer_that_would_be_dropped(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     rr_report r = {.tenure = 1, .tally = 3, .recall_s = -1};
     struct rr_answer ans;
     r.pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
@@ -337,8 +321,8 @@
 /* The limit holds across a change of owner: what the old owner booked counts, proven gone or not.
  */
 static void quota_across_an_owner_change(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000011", .pieces = 3, .cpu = 1, .gpu = 1};
     uint64_t at;
     rr_plan p;
@@ -364,8 +348,8 @@
 
 /* Two owners can't both book the last room: the machine's record is guarded by its mark. */
 static void two_owners_one_room(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a, b;
+    fx_world *w = *state;
+    fx_node *n = &w->n, b;
     struct fx_job j1 = {.ref = "req-000012", .crew = "red", .cpu = 16};
     struct fx_job j2 = {.ref = "req-000013", .crew = "blue", .cpu = 16};
     rr_plan p[2];
@@ -401,8 +385,8 @@
 /* Attempts of two owners in one term never share a number: a replica was once stopped as the victim
  * of a preemption because another team's batch task had the same one. */
 static void attempts_differ_between_owners(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a, b;
+    fx_world *w = *state;
+    fx_node *n = &w->n, b;
     const char *const teams[] = {"red", "blue"};
     uint64_t seen[2] = {0, 0};
     rr_plan p;
@@ -430,8 +414,8 @@
 
 /* A placement guards its job too: a cancellation committed in between voids it. */
 static void cancel_voids_a_planned_start(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000014"};
     rr_plan p;
     fx_report(n, "vm-1", "a", false, 1, 1, rr_core_token(n->core), NULL);
@@ -447,8 +431,8 @@
 
 /* A known job is known, whatever a repeat of it says; unknown crews and sizes are refused. */
 static void admission(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     struct fx_job j = {.ref = "req-000015"};
     rr_submission s;
     const char *why = NULL;
@@ -472,8 +456,8 @@
 /* A report held up by a cut may come after its machine's record went; the machine it brings back is
  * forgotten again, or a long run would gather them. */
 static void strangers_are_forgotten(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a;
+    fx_world *w = *state;
+    fx_node *n = &w->n;
     rr_core_stats st;
     rr_plan p;
     rr_job_view v;
@@ -499,8 +483,8 @@
 
 /* A restarted controller of the same name is not the one the term names. */
 static void a_new_incarnation_waits_for_its_term(void **state) {
-    struct two *w = *state;
-    fx_node *n = &w->a, again;
+    fx_world *w = *state;
+    fx_node *n = &w->n, again;
     fx_node_init(&again, w->store, "n0");
     fx_sync(w->store, again.core, again.now);
     rr_core_set_session(again.core, 77, again.now + 100, again.now + 100);
@@ -512,7 +496,7 @@
     fx_node_clear(&again);
 }
 
-#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, fx_world_teardown)
 
 int main(void) {
     const struct CMUnitTest tests[] = {T(late_start_after_reassignment),
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -3,33 +3,9 @@
 
 #include <string.h>
 
-struct world {
-    fx_store *store;
-    fx_node n;
-};
-
-static int setup(void **state) {
-    struct world *w = g_new0(struct world, 1);
-    w->store = fx_store_create();
-    fx_build(w->store, "m1", 16, 4, 64, 10, 4);
-    fx_node_init(&w->n, w->store, "n0");
-    fx_join(&w->n, 7);
-    *state = w;
-    return 0;
-}
-
-static int teardown(void **state) {
-    struct world *w = *state;
-    fx_node_clear(&w->n);
-    fx_store_destroy(w->store);
-    g_free(w);
-    return 0;
-}
-
 /* Runs steps until one of this kind comes; transactions are committed, lists and the catalogue
  * answered with what is given. */
-static bool step_until(struct world *w, enum rr_step_kind kind, const GArray *stones,
-                       rr_step *out) {
+static bool step_until(fx_world *w, enum rr_step_kind kind, const GArray *stones, rr_step *out) {
     fx_node *n = &w->n;
     GArray *none = g_array_new(FALSE, FALSE, sizeof(rr_stone));
     GArray *builds = g_array_new(FALSE, FALSE, sizeof(rr_build));
@@ -87,7 +63,7 @@
 /* The intent is written before the cloud is called, and a new steward repeats it under the same
  * name: the cloud then answers as before and rents nothing. */
 static void a_rental_is_repeated_under_its_name(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n, b;
     rr_step s;
     char first[RR_ID];
@@ -102,7 +78,7 @@
     b.now = n->now;
     fx_sync(w->store, b.core, b.now);
     fx_join(&b, 8);
-    struct world w2 = {w->store, b};
+    fx_world w2 = {w->store, b};
     assert_true(step_until(&w2, RR_STEP_HIRE, NULL, &s));
     assert_string_equal(s.hire, first);
     GPtrArray *ids = g_ptr_array_new();
@@ -121,7 +97,7 @@
 
 /* No two requests ever share a name. */
 static void names_are_not_reused(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     char first[RR_ID];
@@ -143,7 +119,7 @@
 /* Machines up before the first term are the operators' own and stay; others are adopted as rented
  * and go back when idle. */
 static void adoption_and_idle_return(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
@@ -173,7 +149,7 @@
 /* While a whole zone is silent nothing in it is given up; a lone silent machine is, once probes
  * failed, and its tasks are free only after the release is answered. */
 static void a_cut_zone_is_left_a_dead_machine_is_not(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
@@ -223,7 +199,7 @@
 /* A steward that restarted while a zone was cut has never heard most of it. It gave up fourteen
  * healthy machines one after the other, since it compared each with the few it had heard. */
 static void a_restart_into_a_cut(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     rr_plan p;
@@ -245,7 +221,7 @@
     again.now = n->now;
     fx_sync(w->store, again.core, again.now);
     fx_join(&again, 8);
-    struct world w2 = {w->store, again};
+    fx_world w2 = {w->store, again};
     for (uint64_t i = 2; i < 40; i++) {
         w2.n.now += 1;
         fx_report(&w2.n, "vm-1", "a", false, 1, i, 1, NULL);
@@ -260,7 +236,7 @@
 /* Silent machines are asked, but no more than two at a time: a cut zone must not keep the senders
  * from the machines that can be reached. */
 static void probes_are_few(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_plan p;
     const char *ids[] = {"vm-1", "vm-2", "vm-3", "vm-4"};
@@ -283,7 +259,7 @@
 /* A young machine missing from a lagging list is not gone; one that was listed and is missing for
  * more than twice the lag is. */
 static void missing_from_a_late_list(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     GArray *none = g_array_new(FALSE, FALSE, sizeof(rr_stone));
@@ -317,7 +293,7 @@
 
 /* The catalogue is written until the mirror shows it, whatever becomes of one transaction. */
 static void catalogue_survives_a_lost_transaction(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     GArray *builds = g_array_new(FALSE, TRUE, sizeof(rr_build));
@@ -347,7 +323,7 @@
 
 /* Two jobs failing on one machine: its fault. One job failing on many machines: the job's. */
 static void sick_machine_or_bad_job(void **state) {
-    struct world *w = *state;
+    fx_world *w = *state;
     fx_node *n = &w->n;
     rr_plan p;
     const char *ids[] = {"vm-1", "vm-2", "vm-3", "vm-4"};
@@ -374,7 +350,7 @@
     }
 }
 
-#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+#define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
     const struct CMUnitTest tests[] = {T(a_rental_is_repeated_under_its_name),
