New jobs share records; machines there before the first rental are the operators' own

And a list gives machines that all start together no age, so that 1,190 standing machines were taken for rented ones and went back. Acceptance is one change for some eight jobs when they come together; a job's own key still guards each, so that a cancellation excludes it.

--- a/src/app/app.h
+++ b/src/app/app.h
@@ -33,6 +33,8 @@
     pthread_cond_t user_wake;               /* the committer and the barrier have work */
     pthread_cond_t user_done;               /* some are served */
     GQueue commits;                         /* struct rr_user_commit* */
+    uint64_t batches;                       /* written so far */
+    uint64_t tether;                        /* of our session: batches' keys are unique by it */
     uint64_t barrier_asked, barrier_served; /* polls by turn */
     uint64_t barrier_epoch;
     uint64_t barrier_failed_upto;
@@ -50,6 +52,7 @@
     char key[96];
     rr_out value;
     uint64_t mark; /* guard */
+    bool accepts;  /* a new job, which may share a record with others */
     double until;  /* given up after */
     bool finished;
     enum rr_commit outcome;
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -51,6 +51,9 @@
 static void set_session(struct rr_app *a, uint64_t tether, double sent) {
     double until = sent + rr_session_s(&a->cfg) * 0.998 - 0.1;
     double answer = sent + rr_answer_s(&a->cfg) * 0.998 - 0.1;
+    pthread_mutex_lock(&a->user_lock);
+    a->tether = tether;
+    pthread_mutex_unlock(&a->user_lock);
     pthread_mutex_lock(&a->lock);
     rr_core_set_session(a->core, tether, tether ? until : 0, tether ? answer : 0);
     rr_app_kick(a);
@@ -394,23 +397,98 @@
 
 /* ---- users' commits and barriers ---- */
 
-static guint take_batch(struct rr_app *a, struct rr_user_commit **batch, guint most) {
-    guint n = 0;
-    size_t bytes = 0;
+#define BATCH_MAX 96
+
+/* What one transaction takes of the queue: changes, guards (one a job, one a batch, four for each
+ * change at most) and bytes are bounded. New jobs share records. */
+struct batch {
+    struct rr_user_commit *entries[BATCH_MAX];
+    guint n, records;   /* entries; changes that they make */
+    size_t bytes, open; /* of all; of the record being filled, 0: none */
+};
+
+/* The store counts JSON, which is longer than what is packed. */
+static size_t json_size(const struct rr_user_commit *u) {
+    return u->value.buf.size * 14 / 10 + 16;
+}
+
+/* False: it does not fit any more. */
+static bool batch_add(const struct rr_config *cfg, struct batch *b, struct rr_user_commit *u) {
+    size_t size = json_size(u), most = (size_t)(cfg->value_kb * 1024) - 64;
+    bool joins = u->accepts && b->open > 0 && b->open + size <= most;
+    guint records = b->records + !joins;
+    if (b->n == BATCH_MAX || records > (guint)cfg->txn_ops || b->bytes + size > 40 * 1024 ||
+        b->n + 1 + records > 4 * (guint)cfg->txn_ops) {
+        return b->n == 0;
+    }
+    b->open = joins ? b->open + size : u->accepts ? size : b->open;
+    b->records = records;
+    b->bytes += size + 100;
+    b->entries[b->n++] = u;
+    return true;
+}
+
+static void take_batch(struct rr_app *a, struct batch *b) {
+    memset(b, 0, sizeof *b);
     pthread_mutex_lock(&a->user_lock);
     while (!stopping(a) && g_queue_is_empty(&a->commits)) {
         rr_app_wait(a, &a->user_wake, &a->user_lock, 1.0);
     }
-    while (n < most && !g_queue_is_empty(&a->commits)) {
-        struct rr_user_commit *u = g_queue_peek_head(&a->commits);
-        bytes += u->value.buf.size + 200;
-        if (n > 0 && bytes > 40 * 1024) {
-            break;
-        }
-        batch[n++] = g_queue_pop_head(&a->commits);
+    while (!g_queue_is_empty(&a->commits) &&
+           batch_add(&a->cfg, b, g_queue_peek_head(&a->commits)) && b->n > 0) {
+        g_queue_pop_head(&a->commits);
     }
     pthread_mutex_unlock(&a->user_lock);
-    return n;
+}
+
+static void put_alone(rr_txn *t, const struct rr_user_commit *u) {
+    rr_change ch = {g_strdup(u->key), g_memdup2(u->value.buf.data, u->value.buf.size),
+                    u->value.buf.size, 0};
+    g_array_append_val(t->changes, ch);
+}
+
+/* entries[from..to) are new jobs that share a record. */
+static void put_together(struct rr_app *a, rr_txn *t, struct rr_user_commit **entries, guint n) {
+    char key[96];
+    rr_out o;
+    if (n == 1) {
+        put_alone(t, entries[0]);
+        return;
+    }
+    rr_out_init(&o);
+    rr_core_batch_begin(&o, n);
+    for (guint i = 0; i < n; i++) {
+        msgpack_sbuffer_write(&o.buf, entries[i]->value.buf.data, entries[i]->value.buf.size);
+    }
+    rr_core_batch_key(a->tether, ++a->batches, key, sizeof key);
+    rr_txn_guard(t, key, 0);
+    rr_txn_put(t, key, &o, 0);
+}
+
+/* Every job is guarded by its own key, batch or not: a cancellation or an earlier acceptance of it
+ * fails the transaction, and the others go again without it. */
+static void batch_txn(struct rr_app *a, const struct batch *b, rr_txn *t) {
+    struct rr_user_commit *group[BATCH_MAX];
+    size_t most = (size_t)(a->cfg.value_kb * 1024) - 64, size = 0;
+    guint n = 0;
+    for (guint i = 0; i < b->n; i++) {
+        struct rr_user_commit *u = b->entries[i];
+        rr_txn_guard(t, u->key, u->mark);
+        if (!u->accepts) {
+            put_alone(t, u);
+            continue;
+        }
+        if (n > 0 && size + json_size(u) > most) {
+            put_together(a, t, group, n);
+            n = 0;
+            size = 0;
+        }
+        group[n++] = u;
+        size += json_size(u);
+    }
+    if (n > 0) {
+        put_together(a, t, group, n);
+    }
 }
 
 static bool listed(const GPtrArray *failed, const char *key) {
@@ -447,23 +525,16 @@
 void *rr_duty_committer(void *app) {
     struct rr_app *a = app;
     rr_store *s = open_store(a);
-    struct rr_user_commit *batch[64];
-    guint most = a->cfg.txn_ops < 64 ? (guint)a->cfg.txn_ops : 64;
+    struct batch b;
     while (!stopping(a)) {
-        guint n = take_batch(a, batch, most);
-        if (n == 0) {
+        take_batch(a, &b);
+        if (b.n == 0) {
             continue;
         }
         rr_txn t;
         rr_txn_init(&t);
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
-        for (guint i = 0; i < n; i++) {
-            rr_change ch = {g_strdup(batch[i]->key),
-                            g_memdup2(batch[i]->value.buf.data, batch[i]->value.buf.size),
-                            batch[i]->value.buf.size, 0};
-            rr_txn_guard(&t, batch[i]->key, batch[i]->mark);
-            g_array_append_val(t.changes, ch);
-        }
+        batch_txn(a, &b, &t);
         uint64_t epoch = 0;
         enum rr_commit rc = rr_store_commit(s, RR_PRIO_USER, &t, 1.0, &epoch, failed);
         rr_txn_clear(&t);
@@ -473,7 +544,7 @@
             a->store_ok_at = rr_now();
         }
         pthread_mutex_unlock(&a->lock);
-        settle(a, batch, n, rc, epoch, failed);
+        settle(a, b.entries, b.n, rc, epoch, failed);
         g_ptr_array_free(failed, TRUE);
         if (rc == RR_REFUSED || rc == RR_DOUBT) {
             pause_for(a, 0.1);
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define QUEUE_MAX 128 /* submissions that wait for the store at most */
+#define QUEUE_MAX 256 /* submissions that wait for the store at most */
 
 static void refuse(struct rr_response *rs, int status, const char *why, int retry_after_s) {
     rs->status = status;
@@ -87,7 +87,7 @@
 }
 
 static void accept_job(struct rr_app *a, const rr_submission *s, struct rr_response *rs) {
-    struct rr_user_commit u = {.until = rr_now() + 1.5};
+    struct rr_user_commit u = {.until = rr_now() + 1.5, .accepts = true};
     pthread_mutex_lock(&a->lock);
     /* Known to be down: answered at once, with the time to come back. */
     bool down = !rr_core_loaded(a->core) || (a->store_down && rr_now() - a->store_ok_at > 2);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -70,6 +70,10 @@
 } rr_job_view;
 void rr_core_job_view(const rr_core *c, const char *ref, double now, rr_job_view *out);
 void rr_core_job_key(const char *ref, char *out, size_t size);
+/* Several jobs accepted with one change: n encoded jobs follow. tether and n make the key unique.
+ */
+void rr_core_batch_begin(rr_out *o, size_t n);
+void rr_core_batch_key(uint64_t tether, uint64_t n, char *out, size_t size);
 void rr_core_job_encode(rr_out *o, const rr_submission *s, double at, bool cancelled);
 /* The record of a known job, marked cancelled. False if it is unknown or final. */
 bool rr_core_cancel_record(const rr_core *c, const char *ref, rr_out *o, uint64_t *mark);
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -60,6 +60,12 @@
     g_free(m);
 }
 
+static void batch_free(gpointer p) {
+    rr_batch *b = p;
+    g_ptr_array_free(b->jobs, TRUE);
+    g_free(b);
+}
+
 static void hire_free(gpointer p) {
     rr_hire *h = p;
     g_ptr_array_free(h->ids, TRUE);
@@ -105,6 +111,7 @@
         c->chunk *= 2;
     }
     c->pages = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    c->batches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, batch_free);
     c->next_page = 1;
     c->changes = cfg->txn_ops;
     c->zones = g_array_new(FALSE, TRUE, sizeof(rr_zone_count));
@@ -132,6 +139,7 @@
     g_array_free(c->team_booked, TRUE);
     g_array_free(c->owners, TRUE);
     g_hash_table_destroy(c->pages);
+    g_hash_table_destroy(c->batches);
     g_ptr_array_free(c->dirty, TRUE);
     g_ptr_array_free(c->garbage, TRUE);
     g_array_free(c->term.nodes, TRUE);
@@ -248,7 +256,7 @@
         return false;
     }
     rr_core_job_encode(o, &j->s, j->at, true);
-    *mark = j->mark;
+    *mark = j->own_mark;
     return true;
 }
 
@@ -350,46 +358,87 @@
     }
 }
 
+/* Takes over what a job's record, its own or a batch's, says of the submission. */
+static void put_body(rr_core *c, rr_job *j, const msgpack_object *v, bool is_new) {
+    rr_submission s;
+    const char *field;
+    if (rr_submission_decode(v, &s, &field) != 0) {
+        rr_log_at(c, RR_LOG_ERROR, "job %s: record unreadable at %s", j->s.ref, field);
+        return;
+    }
+    bool stub = j->s.pieces == 0;
+    if (stub) {
+        recount(c, j, -1);
+    } else if (j->s.pieces != s.pieces) {
+        rr_log_at(c, RR_LOG_ERROR, "job %s: record of another size passed over", j->s.ref);
+        rr_submission_clear(&s);
+        return;
+    }
+    rr_submission_clear(&j->s);
+    j->s = s;
+    rr_get_num(v, "at", &j->at);
+    rr_get_bool(v, "cancelled", &j->cancelled);
+    job_index(c, j);
+    job_open(c, j);
+    if (stub) {
+        recount(c, j, 1);
+    }
+    if (is_new) {
+        note_arrival(c, j);
+    }
+}
+
 static void put_job(rr_core *c, const char *ref, const msgpack_object *v, uint64_t mark,
                     double now) {
     rr_job *j = job_get(c, ref, now);
     bool is_new = j->mark == 0;
-    if (mark < j->mark) {
+    if (mark < j->own_mark) {
         return;
     }
-    j->mark = mark;
+    j->mark = j->own_mark = mark;
     if (rr_get(v, "final")) {
         put_final(j, v);
         j->team = rr_names_add(&c->teams, j->s.crew);
     } else {
-        rr_submission s;
-        const char *field;
-        if (rr_submission_decode(v, &s, &field) != 0) {
-            rr_log_at(c, RR_LOG_ERROR, "job %s: record unreadable at %s", ref, field);
-            return;
-        }
-        bool stub = j->s.pieces == 0;
-        if (stub) {
-            recount(c, j, -1);
-        } else if (j->s.pieces != s.pieces) {
-            rr_log_at(c, RR_LOG_ERROR, "job %s: record of another size passed over", ref);
-            rr_submission_clear(&s);
-            return;
-        }
-        rr_submission_clear(&j->s);
-        j->s = s;
-        rr_get_num(v, "at", &j->at);
-        rr_get_bool(v, "cancelled", &j->cancelled);
-        job_index(c, j);
-        job_open(c, j);
-        if (stub) {
-            recount(c, j, 1);
+        put_body(c, j, v, is_new);
+    }
+    job_maybe_close(c, j);
+}
+
+/* Jobs accepted together. A job's own record, written by its cancellation or its end, says more,
+ * whichever comes first; of two batches that name a job (a user's retry elsewhere) the first. */
+static void put_batch(rr_core *c, const char *key, const msgpack_object *v, uint64_t mark,
+                      double now) {
+    const msgpack_object *list = rr_get(v, "jobs");
+    rr_batch *b = g_new0(rr_batch, 1);
+    b->mark = mark;
+    b->jobs = g_ptr_array_new();
+    g_hash_table_replace(c->batches, g_strdup(key), b);
+    for (uint32_t i = 0; list && list->type == MSGPACK_OBJECT_ARRAY && i < list->via.array.size;
+         i++) {
+        const msgpack_object *o = &list->via.array.ptr[i];
+        char ref[RR_ID];
+        if (!rr_get_text(o, "ref", ref, sizeof ref) || !rr_ref_valid(ref)) {
+            continue;
         }
-        if (is_new) {
-            note_arrival(c, j);
+        rr_job *j = job_get(c, ref, now);
+        g_ptr_array_add(b->jobs, j);
+        if (j->own_mark == 0 && (j->mark == 0 || mark < j->mark)) {
+            bool is_new = j->mark == 0;
+            j->mark = mark;
+            put_body(c, j, o, is_new);
         }
     }
-    job_maybe_close(c, j);
+}
+
+void rr_core_batch_begin(rr_out *o, size_t n) {
+    rr_put_map(o, 1);
+    rr_put_text(o, "jobs");
+    rr_put_array(o, n);
+}
+
+void rr_core_batch_key(uint64_t tether, uint64_t n, char *out, size_t size) {
+    g_snprintf(out, size, RR_ROOT "batch/%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, tether, n);
 }
 
 /* ---- machines ---- */
@@ -806,6 +855,7 @@
     m->ward = rr_names_add(&c->wards, ward);
     m->loaners = flags & FLAG_LOANERS;
     m->own = flags & FLAG_OWN;
+    c->ever_hired = c->ever_hired || !m->own;
     rr_as_num(&f[5], &m->born);
     if (!m->heard && addr[0]) {
         g_strlcpy(m->addr, addr, sizeof m->addr);
@@ -918,6 +968,7 @@
         g_strlcpy(h->name, name, sizeof h->name);
         g_hash_table_insert(c->hires, h->name, h);
     }
+    c->ever_hired = true;
     h->mark = mark;
     h->keep = true;
     rr_get_text(v, "build", h->build, sizeof h->build);
@@ -951,6 +1002,8 @@
         put_hire(c, rest, v, mark);
     } else if (after(key, RR_ROOT "build/")) {
         put_build(c, v);
+    } else if (after(key, RR_ROOT "batch/")) {
+        put_batch(c, key, v, mark, now);
     } else {
         /* An earlier version's ledger (by machine) and whatever else: passed over. */
         rr_log_at(c, RR_LOG_DEBUG, "record %s is of no known form", key);
@@ -967,6 +1020,8 @@
         g_hash_table_remove(c->sessions, rest);
     } else if ((rest = after(key, RR_ROOT "hire/"))) {
         g_hash_table_remove(c->hires, rest);
+    } else if (after(key, RR_ROOT "batch/")) {
+        g_hash_table_remove(c->batches, key);
     }
 }
 
@@ -975,6 +1030,7 @@
     gpointer k, v;
     c->rereading = true;
     g_hash_table_remove_all(c->sessions);
+    g_hash_table_remove_all(c->batches);
     g_hash_table_iter_init(&it, c->hires);
     while (g_hash_table_iter_next(&it, &k, &v)) {
         ((rr_hire *)v)->keep = false;
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -62,12 +62,19 @@
     bool keep;
 } rr_page;
 
+/* Jobs accepted together, in one record. */
+typedef struct {
+    uint64_t mark;
+    GPtrArray *jobs; /* rr_job* */
+} rr_batch;
+
 struct rr_job {
     rr_submission s;
     int team, lane, cast;
     rr_res need;
-    uint64_t mark;
-    double at; /* wall, when accepted */
+    uint64_t mark;     /* of the record that tells of it */
+    uint64_t own_mark; /* of its own record, 0 while it is known from a batch only */
+    double at;         /* wall, when accepted */
     bool cancelled, done, open;
     guint8 *bits;   /* done tasks, one bit each; NULL once final */
     guint8 *placed; /* placements a task has in the ledger */
@@ -184,8 +191,9 @@
     int steward;               /* place in the term, -1 */
     int peer_at[RR_MAX_NODES]; /* by place in the term: index of the peer, -1: this controller */
     unsigned plans;
-    double probe_at, strangers_at;
-    GHashTable *pages; /* id -> rr_page */
+    double probe_at, strangers_at, batches_at;
+    GHashTable *pages;   /* id -> rr_page */
+    GHashTable *batches; /* key -> rr_batch */
     uint32_t next_page;
     uint32_t chunk;           /* tasks in one record of the ledger */
     uint64_t all_dirty_token; /* the term for which all machines were looked at */
@@ -208,7 +216,7 @@
     double steward_since, list_at, sim_at;
     double hired_at; /* wall, when the last rental was asked for */
     uint64_t steward_token;
-    bool list_read;
+    bool list_read, ever_hired;
     GArray *cut_at;           /* double by ward: when most of it was last silent */
     GArray *zones;            /* rr_zone_count by ward, as of the last look */
     GArray *arrivals;         /* rr_job* */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -1021,7 +1021,7 @@
     rr_put_key_text(&o, "crew", j->s.crew);
     rr_put_key_u64(&o, "pieces", j->s.pieces);
     rr_core_job_key(j->s.ref, key, sizeof key);
-    rr_txn_guard(&p->out->txn, key, j->mark);
+    rr_txn_guard(&p->out->txn, key, j->own_mark);
     rr_txn_put(&p->out->txn, key, &o, 0);
     rr_log_at(p->c, RR_LOG_DEBUG, "job %s is done", j->s.ref);
 }
@@ -1097,6 +1097,34 @@
               p->full ? ", full" : "");
 }
 
+/* A batch says nothing any more once all its jobs have records of their own. */
+static bool batch_over(const rr_batch *b) {
+    for (guint i = 0; i < b->jobs->len; i++) {
+        if (((const rr_job *)g_ptr_array_index(b->jobs, i))->own_mark == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void put_old_batches(struct planner *p) {
+    rr_core *c = p->c;
+    GHashTableIter it;
+    gpointer k, v;
+    if (c->pressure > 0.3 || p->now - c->batches_at < 2 || !rr_core_is_steward(c, p->now)) {
+        return;
+    }
+    c->batches_at = p->now;
+    g_hash_table_iter_init(&it, c->batches);
+    while (p->ops < p->limit && g_hash_table_iter_next(&it, &k, &v)) {
+        if (batch_over(v)) {
+            rr_txn_guard(&p->out->txn, k, ((rr_batch *)v)->mark);
+            rr_txn_delete(&p->out->txn, k);
+            p->ops++;
+        }
+    }
+}
+
 static void build_txn(struct planner *p) {
     rr_txn *t = &p->out->txn;
     char key[RR_ID + 64];
@@ -1109,9 +1137,10 @@
     for (guint i = 0; i < p->guards->len; i++) {
         rr_job *j = g_ptr_array_index(p->guards, i);
         rr_core_job_key(j->s.ref, key, sizeof key);
-        rr_txn_guard(t, key, j->mark);
+        rr_txn_guard(t, key, j->own_mark);
     }
     put_garbage(p);
+    put_old_batches(p);
     p->out->has_txn = t->changes->len > 0;
     if (p->out->has_txn && p->c->log_level >= RR_LOG_DEBUG) {
         log_plan(p);
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -64,8 +64,9 @@
         m = rr_machine_get(c, s->id, now);
         m->to_adopt = true;
         m->born = wall - s->age_s;
-        /* Up before the service's first term: the operators' own machines, not rented by us. */
-        m->own = !m->hired && m->born < c->term.born - 5;
+        /* There before the service's first term, or before it first rented anything: the operators'
+         * own machines. (A list may give them no age when all start together.) */
+        m->own = !m->hired && (m->born < c->term.born - 5 || !c->ever_hired);
     }
     if (m->build < 0) {
         m->build = rr_names_add(&c->builds, s->build);
@@ -256,6 +257,7 @@
     } else if (to_record(p->c, m, now) && (list = page_with_room(p, m))) {
         m->born = m->born > 0 ? m->born : wall;
         g_ptr_array_add(list, m);
+        rr_log_at(p->c, RR_LOG_DEBUG, "record %s (%s)", m->name, m->own ? "standing" : "rented");
     }
 }
 
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -156,8 +156,8 @@
     double stewards = at_place(c, c->steward) ? 1 : 0;
     /* Everybody mirrors, reads for polls and accepts. */
     out->requests = 0.65 / live + 0.3 * own + 0.05 * stewards;
-    out->users = 0.3 / live;
-    out->plans = 0.55 * own;
+    out->users = 0.35 / live;
+    out->plans = 0.5 * own;
     out->steward = 0.15 * stewards;
 }
 
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -121,16 +121,24 @@
     g_ptr_array_free(none, TRUE);
 }
 
-/* Machines up before the first term are the operators' own and stay; others are adopted as rented
- * and go back when idle. */
+/* Machines up before the first term, or before anything was ever rented, are the operators' own and
+ * stay: a list once gave all that were up at the start no age, and 1,190 of them went back. Others
+ * are adopted as rented and go back when idle. */
 static void adoption_and_idle_return(void **state) {
     fx_world *w = *state;
     fx_node *n = &w->n;
     rr_step s;
     GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
     add_stone(stones, "vm-1", RR_STONE_RUNNING, 500);
+    add_stone(stones, "vm-4", RR_STONE_RUNNING, 0);
+    assert_true(step_until(w, RR_STEP_NONE, stones, &s));
+    rr_step_clear(&s);
+    assert_true(fx_recorded(w->store, "vm-4"));
+    fx_machine(w->store, "vm-3", "b", false, false); /* the first one rented */
+    fx_sync(w->store, n->core, n->now);
     n->now += 30;
     add_stone(stones, "vm-2", RR_STONE_RUNNING, 10);
+    add_stone(stones, "vm-3", RR_STONE_RUNNING, 10);
     assert_true(step_until(w, RR_STEP_NONE, stones, &s));
     rr_step_clear(&s);
     assert_true(fx_recorded(w->store, "vm-1"));
@@ -140,6 +148,7 @@
         n->now += 2;
         fx_report(n, "vm-1", "a", false, 1, i + 1, 1, NULL);
         fx_report(n, "vm-2", "a", false, 1, i + 1, 1, NULL);
+        fx_report(n, "vm-4", "a", false, 1, i + 1, 1, NULL);
         asked = step_until(w, RR_STEP_RELEASE, stones, &s);
         if (asked) {
             assert_int_equal(s.stones->len, 1);
