--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -183,6 +183,7 @@
 static const struct knob knobs[] = {
     KNOB(round_period_s, 12, 1, 86400, false),
     KNOB(round_moves, 4, 1, 1000, true),
+    KNOB(round_share, 0.025, 0, 1, false),
     KNOB(session_share, 0.35, 0.05, 0.8, false),
     KNOB(answer_share, 0.6, 0.05, 0.8, false),
     KNOB(silent_reports, 2.0, 1.3, 100, false),
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -38,7 +38,8 @@
 /* The operators' own settings (HCL-like file), with defaults and ranges in src/app/settings.c. */
 struct rr_tuning {
     double round_period_s; /* pause between re-orchestration rounds */
-    int round_moves;       /* moves a round at most */
+    int round_moves;       /* moves a round at most, */
+    double round_share;    /* or this share of the machines, if that is more */
     bool rounds;           /* false: no re-orchestration */
     double session_share;  /* session time as a share of cancel_s - lease_s */
     double answer_share;   /* how long reports are answered without a renewal, likewise */
--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -88,7 +88,7 @@
 /* A plan counts only if it empties machines, and a replica on a full one settles where it is: only
  * those on the emptiest machines are taken off on paper. A plan's cost then grows with the fleet
  * and not with its square; that many machines are more than a round's moves can empty. */
-#define LOOK_AT 96
+#define LOOK_AT 256
 
 struct lot {
     rr_machine *m;
@@ -247,6 +247,16 @@
     g_array_free(moves, TRUE);
 }
 
+/* A fleet frees half-empty machines in proportion to its size: so many a round it may move. */
+static int moves_allowed(const rr_core *c) {
+    guint n = 0;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        n += ((const rr_machine *)g_ptr_array_index(c->machine_list, i))->recorded;
+    }
+    int share = (int)(c->cfg->tune.round_share * n);
+    return share > c->cfg->tune.round_moves ? share : c->cfg->tune.round_moves;
+}
+
 /* Whether a round begins now. */
 bool rr_round_due(rr_core *c, double now) {
     const struct rr_tuning *t = &c->cfg->tune;
@@ -268,7 +278,7 @@
 
 void rr_round(rr_core *c, double now) {
     c->round_at = now;
-    c->round_left = c->cfg->tune.round_moves;
+    c->round_left = moves_allowed(c);
     if (c->plan_moves->len > 0) {
         return; /* the plan is kept until it is done */
     }
