--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -633,7 +633,7 @@
     return true;
 }
 
-#define PREEMPT_LOOK 48 /* machines with victims compared at most */
+#define PREEMPT_LOOK 160 /* machines with victims compared at most */
 
 /* The machine on which least work is lost; the task is booked there at once and starts when the
  * ledger shows room. */
@@ -1023,7 +1023,9 @@
     rr_core_job_key(j->s.ref, key, sizeof key);
     rr_txn_guard(&p->out->txn, key, j->own_mark);
     rr_txn_put(&p->out->txn, key, &o, 0);
-    rr_log_at(p->c, RR_LOG_DEBUG, "job %s is done", j->s.ref);
+    rr_log_at(p->c, RR_LOG_DEBUG,
+              "job %s is done, %u tasks, %.0f s after it came, due after %.0f, guess %.0f",
+              j->s.ref, j->s.pieces, p->wall - j->at, j->s.due_s, j->s.guess_s);
 }
 
 static void put_edit(struct planner *p, const struct edit *e) {
