Stuck and poisoned states found by reading: unsettled mirrors, names of machines gone, garbage

A booking on a machine whose record went while its owner was down was never taken back; a reread's pages are of different moments and were decided on before the watch had joined them; garbage keys that were deleted while nobody watched would have failed every plan; two records of one job ending together wrote its end twice; a machine back under its name with its counts begun anew was dropped as old and never judged.

--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -259,7 +259,7 @@
 static int reread(struct rr_app *a, rr_store *s) {
     GPtrArray *docs = g_ptr_array_new();
     char from[256] = "";
-    uint64_t first = 0;
+    uint64_t first = 0, last = 0;
     bool more = true;
     int rc = 0;
     while (more && rc == 0 && !stopping(a)) {
@@ -278,6 +278,7 @@
             break;
         }
         first = first ? first : epoch;
+        last = epoch > last ? epoch : last;
         rr_get_bool(d->root, "more", &more);
         if (rows->via.array.size) {
             rr_get_text(&rows->via.array.ptr[rows->via.array.size - 1], "path", from, sizeof from);
@@ -298,7 +299,7 @@
                 }
             }
         }
-        rr_core_mirror_end(a->core, first, now);
+        rr_core_mirror_end(a->core, first, last, now);
         rr_core_set_epoch(a->core, first);
         pthread_cond_broadcast(&a->mirrored);
         rr_app_kick(a);
@@ -699,7 +700,7 @@
             g_strlcpy(h.stone, r.stone, sizeof h.stone);
             pthread_mutex_lock(&a->lock);
             rr_core_report(a->core, rr_now(), &r, via);
-            rr_core_vouch(a->core, h.stone);
+            rr_core_vouch(a->core, rr_now(), &h);
             wanted = rr_core_wanted_by(a->core, h.stone, &rare);
             pthread_mutex_unlock(&a->lock);
         }
@@ -729,7 +730,10 @@
     rr_out_init(&o);
     rr_orders_encode(&o, d->warrant, d->tenure, d->orders);
     if (via < 0) {
-        rc = rr_worker_call(client, d->addr, o.buf.data, o.buf.size, limit, &reply);
+        /* Never heard, its tenure is not known: only its status can be asked. */
+        bool ask = probe && d->tenure == 0;
+        rc = rr_worker_call(client, d->addr, ask ? NULL : o.buf.data, ask ? 0 : o.buf.size, limit,
+                            &reply);
         /* Only what surely was not sent may go another way. */
         if (rc == -ENOTCONN && d->fallback >= 0) {
             via = d->fallback;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -29,8 +29,10 @@
 void rr_core_mirror_put(rr_core *c, const char *key, const msgpack_object *v, uint64_t mark,
                         double now);
 void rr_core_mirror_delete(rr_core *c, const char *key, uint64_t mark, double now);
-/* Ends a full reread whose first page was of this revision: what has come since stays. */
-void rr_core_mirror_end(rr_core *c, uint64_t first, double now);
+/* Ends a full reread whose pages were of the revisions first to last: what came after the first
+ * stays, and nothing is decided before the watch has brought the mirror to the last. */
+void rr_core_mirror_end(rr_core *c, uint64_t first, uint64_t last, double now);
+bool rr_core_settled(const rr_core *c);
 /* Our own transaction, committed at this revision: planning goes on without waiting for the watch.
  */
 void rr_core_apply(rr_core *c, const rr_txn *t, uint64_t epoch, double now);
@@ -85,7 +87,7 @@
  * it was: nothing new, only a sign of life, or news. */
 enum rr_news rr_core_report(rr_core *c, double now, rr_report *r, int via);
 /* The machine has just answered this process: it is not known from late copies alone. */
-void rr_core_vouch(rr_core *c, const char *stone);
+void rr_core_vouch(rr_core *c, double now, const rr_heard *h);
 /* A peer heard the machine again. False: not known here, or not news. */
 bool rr_core_heard(rr_core *c, double now, const rr_heard *h, int via);
 /* Which peers need a machine's reports whole, as bits of their indices: with every change the
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -366,23 +366,19 @@
         rr_log_at(c, RR_LOG_ERROR, "job %s: record unreadable at %s", j->s.ref, field);
         return;
     }
-    bool stub = j->s.pieces == 0;
-    if (stub) {
-        recount(c, j, -1);
-    } else if (j->s.pieces != s.pieces) {
+    if (j->s.pieces && j->s.pieces != s.pieces) {
         rr_log_at(c, RR_LOG_ERROR, "job %s: record of another size passed over", j->s.ref);
         rr_submission_clear(&s);
         return;
     }
+    recount(c, j, -1);
     rr_submission_clear(&j->s);
     j->s = s;
     rr_get_num(v, "at", &j->at);
     rr_get_bool(v, "cancelled", &j->cancelled);
     job_index(c, j);
     job_open(c, j);
-    if (stub) {
-        recount(c, j, 1);
-    }
+    recount(c, j, 1);
     if (is_new) {
         note_arrival(c, j);
     }
@@ -491,15 +487,19 @@
                                                         : (rr_res){0, 0, 0};
 }
 
+static void team_add(rr_core *c, const rr_job *j, int sign) {
+    if ((guint)j->team >= c->team_used->len) {
+        g_array_set_size(c->team_used, (guint)j->team + 1);
+    }
+    rr_res *u = &g_array_index(c->team_used, rr_res, j->team);
+    *u = rr_res_add(*u, j->need, sign);
+}
+
 static void place_count(rr_core *c, rr_machine *m, rr_place *p, int sign) {
     rr_job *j = p->job;
     m->used = rr_res_add(m->used, j->need, sign);
     if (j->team >= 0) {
-        if ((guint)j->team >= c->team_used->len) {
-            g_array_set_size(c->team_used, (guint)j->team + 1);
-        }
-        rr_res *u = &g_array_index(c->team_used, rr_res, j->team);
-        *u = rr_res_add(*u, j->need, sign);
+        team_add(c, j, sign);
     }
     rr_touch(c, m);
     if (!j->placed || p->task >= j->s.pieces) {
@@ -770,6 +770,32 @@
     }
 }
 
+rr_run *rr_garbage_run(const rr_core *c, guint i, rr_job **job) {
+    const char *key = g_ptr_array_index(c->garbage, i);
+    char ref[RR_ID];
+    uint32_t chunk;
+    rr_job *j = rr_piece_parse(key + strlen(RR_ROOT "run/"), ref, sizeof ref, &chunk)
+                    ? g_hash_table_lookup(c->jobs, ref)
+                    : NULL;
+    if (job) {
+        *job = j;
+    }
+    return j && j->runs && chunk < j->runs->len ? g_ptr_array_index(j->runs, chunk) : NULL;
+}
+
+void rr_team_recount(rr_core *c) {
+    g_array_set_size(c->team_used, 0);
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        for (guint k = 0; k < m->places->len; k++) {
+            const rr_job *j = g_array_index(m->places, rr_place, k).job;
+            if (j->team >= 0) {
+                team_add(c, j, 1);
+            }
+        }
+    }
+}
+
 static void drop_run(rr_core *c, rr_job *j, rr_run *r, uint64_t mark, double now) {
     r->mark = 0;
     r->floor = mark;
@@ -1051,6 +1077,12 @@
             }
         }
     }
+    for (guint i = 0; i < c->garbage->len; i++) {
+        rr_run *r = rr_garbage_run(c, i, NULL);
+        if (r) {
+            r->keep = false;
+        }
+    }
 }
 
 static gboolean page_stale(gpointer k, gpointer v, gpointer first) {
@@ -1061,6 +1093,12 @@
 
 /* A record written after the reread began may not be on its pages: only an older one is gone. */
 static void drop_stale_runs(rr_core *c, uint64_t first, double now) {
+    for (guint i = 0; i < c->garbage->len; i++) {
+        rr_run *r = rr_garbage_run(c, i, NULL);
+        if (r && !r->keep && r->mark <= first) {
+            r->mark = 0;
+        }
+    }
     for (guint i = c->open->len; i > 0; i--) {
         rr_job *j = g_ptr_array_index(c->open, i - 1);
         for (guint n = 0; j->runs && n < j->runs->len; n++) {
@@ -1093,7 +1131,12 @@
     }
 }
 
-void rr_core_mirror_end(rr_core *c, uint64_t first, double now) {
+bool rr_core_settled(const rr_core *c) {
+    return c->loaded && c->epoch >= c->settle;
+}
+
+void rr_core_mirror_end(rr_core *c, uint64_t first, uint64_t last, double now) {
+    c->settle = last;
     for (guint i = c->machine_list->len; i > 0; i--) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i - 1);
         const rr_page *p = g_hash_table_lookup(c->pages, GUINT_TO_POINTER(m->page));
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -83,7 +83,7 @@
     GPtrArray *runs;          /* rr_run* by chunk, NULL where there is none; NULL: none at all */
     uint32_t over, finishing; /* scratch of one plan: tasks known to be over, to be recorded */
     double failed_at;         /* steady; no room was found for it then */
-    bool listed;              /* scratch of one plan */
+    bool listed, ending;      /* scratch of one plan */
     int zone;                 /* of completed tasks of a one-zone job, -1 */
     GArray *failed_on;        /* rr_machine ids (int) where a task failed */
     double hold_until;        /* steady; placed no sooner */
@@ -108,7 +108,8 @@
     /* observed */
     bool heard;
     bool vouched; /* by a live exchange with this process: not only by reports, which may be late */
-    unsigned lost_leases;
+    unsigned stale_answers; /* in a row that were older than its last report */
+    double stale_at;
     unsigned unanswered;  /* commands in a row that got no answer */
     double unanswered_at; /* since when */
     double suspect_until; /* an owner says that its commands get no answer there */
@@ -191,7 +192,7 @@
     int steward;               /* place in the term, -1 */
     int peer_at[RR_MAX_NODES]; /* by place in the term: index of the peer, -1: this controller */
     unsigned plans;
-    double probe_at, strangers_at, batches_at;
+    double probe_at, strangers_at, batches_at, recount_at;
     GHashTable *pages;   /* id -> rr_page */
     GHashTable *batches; /* key -> rr_batch */
     uint32_t next_page;
@@ -206,6 +207,7 @@
     rr_term term;
     uint64_t epoch;
     bool loaded, rereading;
+    uint64_t settle; /* revision at which the last reread is one consistent state */
     double pressure; /* 0: changes at the store are plentiful; 1: there are none to spare */
     int changes;     /* that a plan may make now */
     int log_level;
@@ -272,6 +274,9 @@
                    const GArray *items, const GArray *done, int zone);
 size_t rr_run_bytes(guint items);
 rr_res rr_team_used(const rr_core *c, int team);
+void rr_team_recount(rr_core *c); /* sums anew: what is added and taken off for ever drifts */
+/* The record that the i-th key of garbage names, and its job; NULL: not in the mirror. */
+rr_run *rr_garbage_run(const rr_core *c, guint i, rr_job **job);
 rr_place *rr_place_find(const rr_machine *m, uint64_t attempt, const rr_job *j, uint32_t task);
 const rr_piece *rr_piece_find(const rr_machine *m, const rr_place *p);
 bool rr_machine_has_cast(const rr_machine *m, int cast);
@@ -293,6 +298,7 @@
 bool rr_machine_quiet(const rr_core *c, const rr_machine *m, double now); /* does not report on */
 bool rr_machine_fresh(const rr_core *c, const rr_machine *m, double now);
 bool rr_machine_usable(const rr_core *c, const rr_machine *m, double now);
+bool rr_machine_reborn(const rr_machine *m, double now); /* another one under its name */
 bool rr_machine_sick(const rr_machine *m);
 bool rr_machine_doubtful(const rr_machine *m, double now); /* failed a task not long ago */
 void rr_note_error(rr_core *c, rr_machine *m, rr_job *j, double now);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -9,8 +9,9 @@
 #include <string.h>
 
 #define RESEND_S 1.5
-#define PLACE_MAX 256   /* placements in one plan at most */
-#define GATHER_S 4.0    /* completions wait this long at most for others of their job */
+#define PLACE_MAX 256 /* placements in one plan at most */
+#define GATHER_S 4.0  /* completions wait this long at most for others of their job */
+#define RECOUNT_S 60.0
 #define RETRY_MAX_S 2.0 /* a job that found no room is looked at again after this at the latest */
 
 /* Changes to one record of the ledger in this plan. */
@@ -72,6 +73,7 @@
     struct edit *e = p;
     e->run->edit = NULL;
     e->job->over = e->job->finishing = 0;
+    e->job->ending = false;
     g_array_free(e->items, TRUE);
     g_array_free(e->done, TRUE);
     g_free(e);
@@ -397,7 +399,9 @@
     rr_core *c = p->c;
     bool again = false;
     c->visits++;
-    if (!m->gone && (!m->heard || m->rep.warrant > c->term.token)) {
+    /* A booking is made on a recorded machine only; one whose record has gone is proven gone. */
+    bool gone = !m->recorded;
+    if (!gone && (!m->heard || m->rep.warrant > c->term.token)) {
         return false; /* a report or the next term brings it back */
     }
     for (guint i = 0; i < m->places->len; i++) {
@@ -405,14 +409,14 @@
         if (pl->job->team < 0 || !rr_owns_team(c, pl->job->team)) {
             continue;
         }
-        if (m->gone) {
+        if (gone) {
             note_over(p, m, pl, false, "machine gone"); /* proven by its record's end */
             again = true;
         } else {
             again = reconcile_place(p, m, pl) || again;
         }
     }
-    if (m->gone || m->do_inflight || p->now < m->do_next || !rr_machine_fresh(c, m, p->now)) {
+    if (gone || m->do_inflight || p->now < m->do_next || !rr_machine_fresh(c, m, p->now)) {
         return again || m->do_inflight || p->now < m->do_next;
     }
     for (guint i = 0; i < m->rep.pieces->len; i++) {
@@ -1050,7 +1054,8 @@
     }
     if (e->done->len > 0) {
         guard_job(p, j);
-        if (ends) {
+        if (ends && !j->ending) {
+            j->ending = true;
             put_final(p, j);
         }
     }
@@ -1061,13 +1066,8 @@
     rr_core *c = p->c;
     for (guint i = c->garbage->len; i > 0 && c->pressure < 0.5 && p->ops < p->limit; i--) {
         const char *key = g_ptr_array_index(c->garbage, i - 1);
-        char ref[RR_ID];
-        uint32_t chunk;
-        rr_job *j = rr_piece_parse(key + strlen(RR_ROOT "run/"), ref, sizeof ref, &chunk)
-                        ? g_hash_table_lookup(c->jobs, ref)
-                        : NULL;
-        const rr_run *r =
-            j && j->runs && chunk < j->runs->len ? g_ptr_array_index(j->runs, chunk) : NULL;
+        rr_job *j;
+        const rr_run *r = rr_garbage_run(c, i - 1, &j);
         if (!r || !r->mark) {
             g_ptr_array_remove_index_fast(c->garbage, i - 1);
         } else if (!j->open && !r->edit && j->team >= 0 && rr_owns_team(c, j->team)) {
@@ -1141,8 +1141,11 @@
         rr_core_job_key(j->s.ref, key, sizeof key);
         rr_txn_guard(t, key, j->own_mark);
     }
-    put_garbage(p);
-    put_old_batches(p);
+    /* On their own: if one of them is not as the mirror has it, no other change suffers. */
+    if (t->changes->len == 0) {
+        put_garbage(p);
+        put_old_batches(p);
+    }
     p->out->has_txn = t->changes->len > 0;
     if (p->out->has_txn && p->c->log_level >= RR_LOG_DEBUG) {
         log_plan(p);
@@ -1179,7 +1182,7 @@
 }
 
 void rr_core_plan(rr_core *c, double now, double wall, rr_plan *out) {
-    if (!rr_core_entitled(c, now)) {
+    if (!rr_core_entitled(c, now) || !rr_core_settled(c)) {
         return;
     }
     struct planner p = {.c = c, .now = now, .wall = wall, .out = out};
@@ -1221,6 +1224,10 @@
         c->strangers_at = now;
         forget_strangers(c, now);
     }
+    if (now - c->recount_at > RECOUNT_S) {
+        c->recount_at = now;
+        rr_team_recount(c);
+    }
     g_ptr_array_free(wait, TRUE);
     planner_clear(&p);
 }
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -111,7 +111,6 @@
     if (m->heard && r->tenure > m->rep.tenure) {
         rr_log_at(c, RR_LOG_DEBUG, "machine %s lost its lease: tenure %" G_GUINT64_FORMAT, m->name,
                   r->tenure);
-        m->lost_leases++;
         c->leases_lost++;
     }
     if (r->recall_s >= 0 && (!m->heard || m->rep.recall_s < 0)) {
@@ -155,7 +154,7 @@
     r->pieces = NULL;
     m->heard = true;
     m->heard_at = now;
-    m->probe_fails = 0;
+    m->probe_fails = m->stale_answers = 0;
     m->via = via;
     if (changed) {
         note_casts(c, m);
@@ -164,11 +163,27 @@
     return changed ? RR_NEWS_CHANGED : RR_NEWS_HEARD;
 }
 
-void rr_core_vouch(rr_core *c, const char *stone) {
-    rr_machine *m = g_hash_table_lookup(c->machines, stone);
-    if (m) {
-        m->vouched = true;
+/* A machine that is back under its name at once, with its counts begun anew, looks older than what
+ * is known of it: its reports are dropped, and yet it answers. It is another one; what was on the
+ * first is gone, but a command on its way to that one could still reach this one. So it is asked
+ * back. */
+void rr_core_vouch(rr_core *c, double now, const rr_heard *h) {
+    rr_machine *m = g_hash_table_lookup(c->machines, h->stone);
+    if (!m) {
+        return;
     }
+    m->vouched = true;
+    bool older = m->heard && (h->tenure < m->rep.tenure ||
+                              (h->tenure == m->rep.tenure && h->tally < m->rep.tally));
+    if (!older) {
+        m->stale_answers = 0;
+    } else if (m->stale_answers++ == 0) {
+        m->stale_at = now;
+    }
+}
+
+bool rr_machine_reborn(const rr_machine *m, double now) {
+    return m->stale_answers >= 3 && now - m->stale_at > 2;
 }
 
 bool rr_core_heard(rr_core *c, double now, const rr_heard *h, int via) {
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -411,6 +411,9 @@
         !rr_machine_quiet(c, m, now)) {
         return "reports, but hears nothing";
     }
+    if (rr_machine_reborn(m, now)) {
+        return "back under its name with its counts begun anew";
+    }
     if (!m->heard && wall - m->born > 4 * boot + 30 && empty && now - c->steward_since > 2 * boot) {
         return "never came up";
     }
@@ -833,7 +836,7 @@
 
 void rr_core_steward_step(rr_core *c, double now, double wall, rr_step *out) {
     out->kind = RR_STEP_NONE;
-    if (!rr_core_is_steward(c, now)) {
+    if (!rr_core_is_steward(c, now) || !rr_core_settled(c)) {
         return;
     }
     if (c->steward_token != c->term.token) {
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -107,7 +107,7 @@
         rr_doc_clear(&d);
     }
     if (!rr_core_loaded(c)) {
-        rr_core_mirror_end(c, s->epoch, now);
+        rr_core_mirror_end(c, s->epoch, s->epoch, now);
     }
     rr_core_set_epoch(c, s->epoch);
 }
