--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -112,7 +112,7 @@
     rr_core_set_epoch(c, s->epoch);
 }
 
-static void put(fx_store *s, const char *key, rr_out *o) {
+void fx_put(fx_store *s, const char *key, rr_out *o) {
     rr_txn t;
     rr_txn_init(&t);
     rr_txn_put(&t, key, o, 0);
@@ -192,7 +192,7 @@
     node_key(n, key, sizeof key);
     rr_out_init(&o);
     rr_core_node_put(&o, tether);
-    put(n->store, key, &o);
+    fx_put(n->store, key, &o);
     rr_core_set_session(n->core, tether, n->now + 1e6, n->now + 1e6);
     fx_term(n);
 }
@@ -226,7 +226,7 @@
     rr_out_init(&o);
     rr_build_encode(&o, &b);
     g_snprintf(key, sizeof key, RR_ROOT "build/%s", sku);
-    put(s, key, &o);
+    fx_put(s, key, &o);
     rr_build_clear(&b);
 }
 
@@ -264,7 +264,7 @@
     rr_out_init(&o);
     rr_core_job_encode(&o, &sub, at, false);
     rr_core_job_key(j->ref, key, sizeof key);
-    put(s, key, &o);
+    fx_put(s, key, &o);
 }
 
 void fx_cancel(fx_node *n, const char *ref) {
@@ -299,7 +299,7 @@
     rr_put_u64(&o, (loaners ? 1 : 0) | (own ? 2 : 0));
     rr_put_num(&o, 0);
     g_snprintf(key, sizeof key, RR_ROOT "fleet/%08d", atoi(id + 3) + 100000);
-    put(s, key, &o);
+    fx_put(s, key, &o);
 }
 
 void fx_machine_gone(fx_store *s, const char *id) {
@@ -310,7 +310,7 @@
     rr_put_text(&o, "stones");
     rr_put_array(&o, 0);
     g_snprintf(key, sizeof key, RR_ROOT "fleet/%08d", atoi(id + 3) + 100000);
-    put(s, key, &o);
+    fx_put(s, key, &o);
 }
 
 /* Whether a record of the fleet names the machine. */
@@ -447,3 +447,56 @@
     g_free(w);
     return 0;
 }
+
+static void put_fleet(fx_store *s, int first, int n, const char *ward, bool own) {
+    char key[64], id[32], addr[32];
+    rr_out o;
+    rr_out_init(&o);
+    rr_put_map(&o, 1);
+    rr_put_text(&o, "stones");
+    rr_put_array(&o, (size_t)n);
+    for (int i = first; i < first + n; i++) {
+        g_snprintf(id, sizeof id, "vm-%d", i);
+        g_snprintf(addr, sizeof addr, "127.0.0.1:%d", 1000 + i);
+        rr_put_array(&o, 6);
+        rr_put_text(&o, id);
+        rr_put_text(&o, addr);
+        rr_put_text(&o, "m1");
+        rr_put_text(&o, ward);
+        rr_put_u64(&o, own ? 2 : 0);
+        rr_put_num(&o, 0);
+    }
+    g_snprintf(key, sizeof key, RR_ROOT "fleet/%08d", first);
+    fx_put(s, key, &o);
+}
+
+void fx_fleet(fx_node *n, int first, int many, const char *ward) {
+    char id[32];
+    for (int i = 0; i < many; i += 40) {
+        put_fleet(n->store, first + i, many - i < 40 ? many - i : 40, ward, true);
+    }
+    fx_sync(n->store, n->core, n->now);
+    for (int i = first; i < first + many; i++) {
+        g_snprintf(id, sizeof id, "vm-%d", i);
+        fx_report(n, id, ward, false, 1, 1, rr_core_token(n->core), NULL);
+    }
+}
+
+unsigned fx_placed(const fx_store *s, const char *ref) {
+    GHashTableIter it;
+    gpointer k, v;
+    unsigned n = 0;
+    char prefix[64];
+    g_snprintf(prefix, sizeof prefix, RR_ROOT "run/%s/", ref);
+    g_hash_table_iter_init(&it, s->kv);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const struct fx_value *val = v;
+        rr_doc d;
+        if (g_str_has_prefix(k, prefix)) {
+            assert_int_equal(rr_doc_parse(&d, val->data, val->len), 0);
+            n += rr_get(d.root, "tasks")->via.array.size;
+            rr_doc_clear(&d);
+        }
+    }
+    return n;
+}
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -26,6 +26,8 @@
 void fx_sync(fx_store *s, rr_core *c, double now);
 uint64_t fx_mark(const fx_store *s, const char *key); /* 0: no such key */
 unsigned fx_count(const fx_store *s, const char *prefix);
+void fx_put(fx_store *s, const char *key, rr_out *o);   /* writes, whatever is there */
+unsigned fx_placed(const fx_store *s, const char *ref); /* bookings of a job in the ledger */
 
 typedef struct {
     struct rr_config cfg;
@@ -68,6 +70,8 @@
 /* Report builder: tasks as "ref task attempt standing[:cause]", NULL-ended. */
 void fx_report(fx_node *n, const char *id, const char *ward, bool loaners, uint64_t tenure,
                uint64_t tally, uint64_t warrant, ...);
+/* Many machines in few records, all of which have reported empty. */
+void fx_fleet(fx_node *n, int first, int many, const char *ward);
 /* Plans, commits and syncs once; the commands are in *p until rr_plan_clear(). 1: committed. */
 int fx_plan(fx_node *n, rr_plan *p);
 /* The attempt booked for ref/task on machine id, 0: none. */
--- /dev/null
+++ b/tests/test_core_growth.c
@@ -0,0 +1,319 @@
+/* With many times the machines and jobs, work must follow what happens and not the fleet. Counts,
+ * not times: machines looked at, records changed, commands sent. A walk over all machines for each
+ * event fails these on any machine. Then that no one's work waits for ever behind another's. */
+#include "fakes.h"
+
+#include <string.h>
+
+#define FLEET 2000
+
+static unsigned visits(const fx_node *n) {
+    rr_core_stats st;
+    rr_core_get_stats(n->core, &st);
+    return st.visits;
+}
+
+static guint changes_of(const rr_plan *p) {
+    return p->has_txn ? p->txn.changes->len : 0;
+}
+
+/* Plans until nothing changes; every command is answered. Returns the changes made. */
+static unsigned settle(fx_node *n) {
+    unsigned changes = 0;
+    for (int i = 0; i < 400; i++) {
+        rr_plan p;
+        n->now += 0.01;
+        fx_plan(n, &p);
+        guint now = changes_of(&p);
+        for (guint k = 0; k < p.dos->len; k++) {
+            rr_core_do_result(n->core, n->now, g_ptr_array_index(p.dos, k), RR_DO_ANSWERED, true);
+        }
+        bool idle = now == 0 && p.dos->len == 0;
+        rr_plan_clear(&p);
+        changes += now;
+        if (idle) {
+            return changes;
+        }
+    }
+    return changes;
+}
+
+static void submit_many(fx_node *n, int first, int many, const struct fx_job *like) {
+    for (int i = first; i < first + many; i++) {
+        char ref[32];
+        struct fx_job j = *like;
+        g_snprintf(ref, sizeof ref, "req-%06d", i);
+        j.ref = ref;
+        fx_submit(n->store, &j, n->now);
+    }
+    fx_sync(n->store, n->core, n->now);
+}
+
+/* What a machine would report of one job's tasks: all of them in one standing. */
+static void report_job(fx_node *n, const char *ref, uint32_t pieces, const char *standing,
+                       uint64_t tally) {
+    for (int m = 1; m <= FLEET; m++) {
+        char id[32], *show[8] = {NULL};
+        int k = 0;
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        for (uint32_t t = 0; t < pieces && k < 4; t++) {
+            uint64_t at = fx_booked(n->store, id, ref, t);
+            if (at) {
+                show[k++] = g_strdup_printf("%s %u %" G_GUINT64_FORMAT " %s", ref, t, at, standing);
+            }
+        }
+        if (k > 0) {
+            fx_report(n, id, "a", false, 1, tally, rr_core_token(n->core), show[0], show[1],
+                      show[2], show[3], NULL);
+        }
+        for (int i = 0; i < k; i++) {
+            g_free(show[i]);
+        }
+    }
+}
+
+/* One report that says something new, in a fleet of thousands: its machine is looked at. */
+static void a_plan_costs_what_changed(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    fx_fleet(n, 1, FLEET, "a");
+    settle(n);
+    unsigned before = visits(n);
+    fx_report(n, "vm-77", "a", false, 1, 2, rr_core_token(n->core), "req-000001 0 3 running", NULL);
+    fx_plan(n, &p);
+    assert_true(visits(n) - before <= 4);
+    rr_plan_clear(&p);
+}
+
+/* An array is booked with one change, what ends together is recorded with one, and its end with
+ * two, however many machines it ran on. */
+static void an_array_costs_a_few_changes(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    rr_job_view v;
+    fx_fleet(n, 1, FLEET, "a");
+    submit_many(n, 1, 1, &(struct fx_job){.pieces = 60, .cpu = 4, .gpu = 1});
+    fx_plan(n, &p);
+    assert_int_equal(changes_of(&p), 1);
+    assert_int_equal(fx_placed(w->store, "req-000001"), 60);
+    rr_plan_clear(&p);
+    report_job(n, "req-000001", 30, "ended:done", 2);
+    fx_plan(n, &p);
+    assert_int_equal(changes_of(&p), 1);
+    rr_plan_clear(&p);
+    assert_int_equal(fx_placed(w->store, "req-000001"), 30);
+    report_job(n, "req-000001", 60, "ended:done", 3);
+    fx_plan(n, &p);
+    assert_int_equal(changes_of(&p), 2);
+    rr_plan_clear(&p);
+    rr_core_job_view(n->core, "req-000001", n->now, &v);
+    assert_true(v.done);
+    assert_int_equal(fx_count(w->store, RR_ROOT "run/"), 0);
+}
+
+/* While changes are short completions wait for others of their job, and their room does not; a
+ * job's last one waits for nothing. */
+static void completions_gather_when_changes_are_short(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    fx_fleet(n, 1, 1, "a");
+    submit_many(n, 1, 1, &(struct fx_job){.pieces = 2, .cpu = 8});
+    settle(n);
+    char *one = g_strdup_printf("req-000001 0 %" G_GUINT64_FORMAT " ended:done",
+                                fx_booked(w->store, "vm-1", "req-000001", 0));
+    char *two = g_strdup_printf("req-000001 1 %" G_GUINT64_FORMAT " ended:done",
+                                fx_booked(w->store, "vm-1", "req-000001", 1));
+    rr_core_set_pressure(n->core, 1, 8);
+    fx_report(n, "vm-1", "a", false, 1, 2, rr_core_token(n->core), one, NULL);
+    fx_plan(n, &p);
+    assert_int_equal(changes_of(&p), 0);
+    rr_plan_clear(&p);
+    submit_many(n, 2, 1, &(struct fx_job){.cpu = 8});
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(fx_booked(w->store, "vm-1", "req-000002", 0) != 0);
+    fx_report(n, "vm-1", "a", false, 1, 3, rr_core_token(n->core), one, two, NULL);
+    fx_plan(n, &p);
+    assert_int_equal(changes_of(&p), 2);
+    rr_plan_clear(&p);
+    g_free(one);
+    g_free(two);
+}
+
+/* Hundreds of jobs that find no room cost one walk over the fleet, not one each. */
+static void waiting_jobs_share_a_search(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    fx_fleet(n, 1, FLEET, "a");
+    submit_many(n, 1, 500, &(struct fx_job){.ward = "b"});
+    unsigned before = visits(n);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(visits(n) - before <= 4 * FLEET);
+}
+
+/* The tasks of a spread job go out in one plan: zone counts are kept while it books. */
+static void a_spread_job_in_one_plan(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    fx_fleet(n, 1, 200, "a");
+    fx_fleet(n, 201, 200, "b");
+    submit_many(n, 1, 1, &(struct fx_job){.pieces = 12, .service = true, .apart = true, .gpu = 1});
+    fx_plan(n, &p);
+    assert_int_equal(changes_of(&p), 1);
+    rr_plan_clear(&p);
+    assert_int_equal(fx_placed(w->store, "req-000001"), 12);
+    unsigned in_a = 0;
+    for (uint32_t t = 0; t < 12; t++) {
+        for (int m = 1; m <= 200; m++) {
+            char id[32];
+            g_snprintf(id, sizeof id, "vm-%d", m);
+            in_a += fx_booked(w->store, id, "req-000001", t) != 0;
+        }
+    }
+    assert_int_equal(in_a, 6);
+}
+
+/* Over a thousand machines that are up come into the records with a few changes, and what a
+ * thousand waiting tasks need is asked for at once, fifty machines a call. */
+static void the_fleet_comes_in_bulk(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    unsigned changes = 0, hires = 0, asked = 0;
+    for (int i = 1; i <= 1000; i++) {
+        rr_stone s = {.state = RR_STONE_RUNNING, .age_s = 100};
+        g_snprintf(s.id, sizeof s.id, "vm-%06d", i);
+        g_snprintf(s.addr, sizeof s.addr, "10.1.2.3:%d", 1000 + i);
+        g_strlcpy(s.build, "m1", sizeof s.build);
+        g_strlcpy(s.ward, "a", sizeof s.ward);
+        g_array_append_val(stones, s);
+    }
+    submit_many(n, 1, 100, &(struct fx_job){.pieces = 40, .cpu = 8, .ward = "b"});
+    for (int i = 0; i < 120; i++) {
+        rr_step s;
+        rr_step_init(&s);
+        rr_core_steward_step(n->core, n->now, n->now, &s);
+        if (s.kind == RR_STEP_TXN) {
+            changes += s.txn.changes->len;
+            assert_int_equal(fx_commit(w->store, &s.txn), 0);
+            fx_sync(w->store, n->core, n->now);
+        } else if (s.kind == RR_STEP_LIST) {
+            rr_core_listed(n->core, n->now, n->now, n->now, stones);
+        } else if (s.kind == RR_STEP_HIRE) {
+            hires++;
+            assert_true(s.how_many <= 50);
+            asked += (unsigned)s.how_many;
+        } else {
+            n->now += 0.3;
+        }
+        rr_step_clear(&s);
+    }
+    assert_true(fx_recorded(w->store, "vm-000001") && fx_recorded(w->store, "vm-001000"));
+    assert_true(changes <= 1000 / 20 + 40);
+    assert_true(hires >= 20 && asked >= 1000);
+    g_array_free(stones, TRUE);
+}
+
+/* One huge job among a stream of small ones with nearer deadlines: it begins, and they go on. */
+static void a_huge_job_among_small_ones(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    unsigned small = 0;
+    fx_fleet(n, 1, 2, "a"); /* eight tasks at a time */
+    submit_many(n, 1, 1, &(struct fx_job){.pieces = 3000, .cpu = 4, .due_s = 5000});
+    int next = 2;
+    for (uint64_t turn = 2; turn < 100; turn++) {
+        rr_plan p;
+        n->now += 1;
+        submit_many(n, next, 4, &(struct fx_job){.cpu = 4, .due_s = 60});
+        next += 4;
+        for (int i = 0; i < 3; i++) {
+            n->now += 0.4;
+            fx_plan(n, &p);
+            rr_plan_clear(&p);
+        }
+        /* Everything that runs ends within the turn. */
+        for (int m = 1; m <= 2; m++) {
+            char id[8], *show[8] = {NULL};
+            int k = 0;
+            g_snprintf(id, sizeof id, "vm-%d", m);
+            for (int r = 1; r < next && k < 4; r++) {
+                char ref[32];
+                g_snprintf(ref, sizeof ref, "req-%06d", r);
+                for (uint32_t t = 0; t < (r == 1 ? 3000u : 1u) && k < 4; t++) {
+                    uint64_t at = r == 1 && fx_placed(w->store, ref) == 0
+                                      ? 0
+                                      : fx_booked(w->store, id, ref, t);
+                    if (at) {
+                        show[k++] =
+                            g_strdup_printf("%s %u %" G_GUINT64_FORMAT " ended:done", ref, t, at);
+                    }
+                    if (r == 1 && t > 400) {
+                        break;
+                    }
+                }
+            }
+            fx_report(n, id, "a", false, 1, turn, rr_core_token(n->core), show[0], show[1], show[2],
+                      show[3], NULL);
+            for (int i = 0; i < k; i++) {
+                g_free(show[i]);
+            }
+        }
+        fx_plan(n, &p);
+        rr_plan_clear(&p);
+        rr_job_view v;
+        rr_core_job_view(n->core, "req-000001", n->now, &v);
+        if (v.ndone > 0 && turn > 40) {
+            break;
+        }
+    }
+    rr_job_view v;
+    rr_core_job_view(n->core, "req-000001", n->now, &v);
+    assert_true(v.ndone > 0);
+    for (int r = 2; r < next; r++) {
+        char ref[32];
+        g_snprintf(ref, sizeof ref, "req-%06d", r);
+        rr_core_job_view(n->core, ref, n->now, &v);
+        small += v.done;
+    }
+    assert_true(small * 2 >= (unsigned)(next - 2));
+}
+
+/* A team that floods takes no more than its limit, and one with a guarantee gets it. */
+static void a_flooding_team(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    n->cfg.teams[0].cpus_max = 48;
+    n->cfg.teams[1].cpus = 16;
+    fx_fleet(n, 1, 4, "a");
+    submit_many(n, 1, 300, &(struct fx_job){.crew = "red", .cpu = 4, .due_s = 10});
+    settle(n);
+    submit_many(n, 500, 4, &(struct fx_job){.crew = "blue", .cpu = 4});
+    n->now += 3;
+    settle(n);
+    for (int r = 500; r < 504; r++) {
+        char ref[32];
+        g_snprintf(ref, sizeof ref, "req-%06d", r);
+        assert_int_equal(fx_placed(w->store, ref), 1);
+    }
+}
+
+#define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
+
+int main(void) {
+    const struct CMUnitTest tests[] = {T(a_plan_costs_what_changed),
+                                       T(an_array_costs_a_few_changes),
+                                       T(completions_gather_when_changes_are_short),
+                                       T(waiting_jobs_share_a_search),
+                                       T(a_spread_job_in_one_plan),
+                                       T(the_fleet_comes_in_bulk),
+                                       T(a_huge_job_among_small_ones),
+                                       T(a_flooding_team)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
