A job that waits long for its first task gets a few before all others

Found by the test of a huge job among small ones: taking the oldest with every eighth plan could miss each moment at which there was room. Seen to fail without it.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -858,36 +858,39 @@
     return wait;
 }
 
-/* A day's largest job must not wait for ever behind a stream of small ones with nearer deadlines,
- * nor they behind it: every so often the job that waits longest for its first task goes first. */
-static void longest_first(GPtrArray *wait) {
-    guint oldest = 0;
-    for (guint i = 1; i < wait->len; i++) {
-        const rr_job *j = g_ptr_array_index(wait, i), *o = g_ptr_array_index(wait, oldest);
-        bool a = j->ndone + j->nplaced == 0, b = o->ndone + o->nplaced == 0;
-        if (a != b ? a : j->at < o->at) {
-            oldest = i;
+/* A day's largest job must not wait for ever behind a stream of small ones with nearer deadlines: a
+ * job that has waited for its first task for this long gets a few before all others. Now and then
+ * the oldest does, too, so that what has begun goes on. */
+#define FIRST_TASK_S 45.0
+#define OLDEST_EVERY 7 /* plans */
+#define HEAD_START 8   /* tasks */
+
+static rr_job *overdue(const struct planner *p, const GPtrArray *wait) {
+    rr_job *best = NULL;
+    bool any = p->c->plans % OLDEST_EVERY == 0;
+    for (guint i = 0; i < wait->len; i++) {
+        rr_job *j = g_ptr_array_index(wait, i);
+        bool unbegun = j->ndone + j->nplaced == 0 && p->wall - j->at > FIRST_TASK_S;
+        if ((unbegun || any) && p->now - j->failed_at >= RETRY_MAX_S &&
+            (!best || j->at < best->at)) {
+            best = j;
         }
     }
-    if (oldest > 0) {
-        gpointer j = g_ptr_array_index(wait, oldest);
-        g_ptr_array_remove_index(wait, oldest);
-        g_ptr_array_insert(wait, 0, j);
-    }
+    return best;
 }
 
-#define AGED_EVERY 8 /* plans */
-
 static void place_waiting(struct planner *p, GPtrArray *wait) {
-    int left = PLACE_MAX;
+    int left = PLACE_MAX, head = HEAD_START;
     double retry = fmin(0.25 + 0.02 * wait->len, RETRY_MAX_S);
-    g_ptr_array_sort(wait, by_turn);
-    if (++p->c->plans % AGED_EVERY == 0) {
-        longest_first(wait);
+    p->c->plans++;
+    rr_job *first = overdue(p, wait);
+    if (first) {
+        place_job(p, first, &head);
     }
+    g_ptr_array_sort(wait, by_turn);
     for (guint i = 0; i < wait->len && !p->full && left > 0; i++) {
         rr_job *j = g_ptr_array_index(wait, i);
-        if (p->now - j->failed_at >= retry) {
+        if (p->now - j->failed_at >= retry && !(j == first && head < HEAD_START)) {
             place_job(p, j, &left);
         }
     }
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -112,6 +112,25 @@
     rr_core_set_epoch(c, s->epoch);
 }
 
+static gint by_text(gconstpointer a, gconstpointer b) {
+    return strcmp(a, b);
+}
+
+void fx_reread(fx_store *s, rr_core *c, double now) {
+    GList *keys = g_list_sort(g_hash_table_get_keys(s->kv), by_text);
+    rr_core_mirror_begin(c);
+    for (const GList *k = keys; k; k = k->next) {
+        const struct fx_value *v = g_hash_table_lookup(s->kv, k->data);
+        rr_doc d;
+        assert_int_equal(rr_doc_parse(&d, v->data, v->len), 0);
+        rr_core_mirror_put(c, k->data, d.root, v->mark, now);
+        rr_doc_clear(&d);
+    }
+    rr_core_mirror_end(c, s->epoch, s->epoch, now);
+    rr_core_set_epoch(c, s->epoch);
+    g_list_free(keys);
+}
+
 void fx_put(fx_store *s, const char *key, rr_out *o) {
     rr_txn t;
     rr_txn_init(&t);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -24,6 +24,8 @@
 int fx_commit(fx_store *s, const rr_txn *t);
 /* Brings the core's mirror up to now. */
 void fx_sync(fx_store *s, rr_core *c, double now);
+/* A full read in key order, as a controller makes that has just started. */
+void fx_reread(fx_store *s, rr_core *c, double now);
 uint64_t fx_mark(const fx_store *s, const char *key); /* 0: no such key */
 unsigned fx_count(const fx_store *s, const char *prefix);
 void fx_put(fx_store *s, const char *key, rr_out *o);   /* writes, whatever is there */
--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -220,7 +220,8 @@
     g_array_free(stones, TRUE);
 }
 
-/* One huge job among a stream of small ones with nearer deadlines: it begins, and they go on. */
+/* One huge job among a stream of small ones with nearer deadlines, more than there is room for: it
+ * begins, and they go on. */
 static void a_huge_job_among_small_ones(void **state) {
     fx_world *w = *state;
     fx_node *n = &w->n;
@@ -231,8 +232,8 @@
     for (uint64_t turn = 2; turn < 100; turn++) {
         rr_plan p;
         n->now += 1;
-        submit_many(n, next, 4, &(struct fx_job){.cpu = 4, .due_s = 60});
-        next += 4;
+        submit_many(n, next, 9, &(struct fx_job){.cpu = 4, .due_s = 60});
+        next += 9;
         for (int i = 0; i < 3; i++) {
             n->now += 0.4;
             fx_plan(n, &p);
--- a/tests/test_core_troubles.c
+++ b/tests/test_core_troubles.c
@@ -374,7 +374,7 @@
     rr_plan_clear(&p);
     fx_cancel(n, "req-1");
     fx_node_init(&again, w->store, "n1");
-    fx_sync(w->store, again.core, again.now);
+    fx_reread(w->store, again.core, again.now);
     rr_core_job_view(again.core, "req-1", again.now, &v);
     assert_true(v.known && v.aborted);
     rr_core_job_view(again.core, "req-4", again.now, &v);
@@ -447,7 +447,7 @@
     assert_string_equal(place_of(w, "req-1"), "vm-1");
     fx_machine_gone(w->store, "vm-1");
     fx_node_init(&again, w->store, "n0");
-    fx_sync(w->store, again.core, again.now);
+    fx_reread(w->store, again.core, again.now);
     fx_join(&again, 8);
     hear(&again, "vm-2", 1);
     plan_with_deaf(&again, NULL);
