--- a/tests/test_core_rules.c
+++ b/tests/test_core_rules.c
@@ -455,6 +455,22 @@
     rr_plan_clear(&p);
 }
 
+/* A job that waited long goes first and in its turn: once each, or its tasks were booked twice. */
+static void an_overdue_job_is_placed_once(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    struct fx_job j = {.ref = "req-000018", .pieces = 4, .cpu = 1};
+    rr_plan p;
+    fx_submit(w->store, &j, n->now);
+    n->now += 100;
+    fx_sync(w->store, n->core, n->now);
+    fx_report(n, "vm-1", "a", false, 1, 1, rr_core_token(n->core), NULL);
+    fx_report(n, "vm-2", "b", false, 1, 1, rr_core_token(n->core), NULL);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_int_equal(fx_placed(w->store, j.ref), 4);
+}
+
 /* A known job is known, whatever a repeat of it says; unknown crews and sizes are refused. */
 static void admission(void **state) {
     fx_world *w = *state;
@@ -540,6 +556,7 @@
                                        T(two_owners_one_room),
                                        T(attempts_differ_between_owners),
                                        T(cancel_voids_a_planned_start),
+                                       T(an_overdue_job_is_placed_once),
                                        T(admission),
                                        T(strangers_are_forgotten),
                                        T(a_new_incarnation_waits_for_its_term)};
--- a/tests/test_core_troubles.c
+++ b/tests/test_core_troubles.c
@@ -456,6 +456,87 @@
     fx_node_clear(&again);
 }
 
+static void random_value(GRand *rnd, rr_out *o, int depth) {
+    static const char *const texts[] = {"",     "a",     "vm-1", "req-1", "m1",
+                                        "ffff", "batch", "prod", "done"};
+    int kind = g_rand_int_range(rnd, 0, depth > 0 ? 7 : 5);
+    int n = g_rand_int_range(rnd, 0, 7);
+    switch (kind) {
+    case 0:
+        rr_put_u64(o, g_rand_int(rnd) >> g_rand_int_range(rnd, 0, 31));
+        break;
+    case 1:
+        rr_put_num(o, g_rand_double_range(rnd, -10, 1e7));
+        break;
+    case 2:
+        rr_put_bool(o, n & 1);
+        break;
+    case 3:
+        msgpack_pack_nil(&o->pk);
+        break;
+    case 5:
+        rr_put_array(o, (size_t)n);
+        for (int i = 0; i < n; i++) {
+            random_value(rnd, o, depth - 1);
+        }
+        break;
+    case 6:
+        rr_put_map(o, 1);
+        rr_put_text(o, texts[g_rand_int_range(rnd, 0, G_N_ELEMENTS(texts))]);
+        random_value(rnd, o, depth - 1);
+        break;
+    default:
+        rr_put_text(o, texts[g_rand_int_range(rnd, 0, G_N_ELEMENTS(texts))]);
+    }
+}
+
+/* Records of an earlier form, too large or malformed are passed over: no crash, and what is well
+ * formed beside them is served. */
+static void malformed_records(void **state) {
+    static const char *const keys[] = {
+        "run/req-1/0",    "run/req-1/9",    "run/x",     "run/req-2/99999",
+        "fleet/00000001", "fleet/x",        "job/req-1", "job/req-2",
+        "batch/1-1",      "hire/h",         "node/n2",   "build/m9",
+        "machine/vm-1",   "result/req-1/0", "term2",     "other"};
+    static const char *const fields[] = {"tasks",  "bits", "stones", "jobs",
+                                         "tether", "zone", "final"};
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    GRand *rnd = g_rand_new_with_seed(11);
+    rr_plan p;
+    for (uint64_t i = 0; i < 20000; i++) {
+        char key[64];
+        rr_out o;
+        rr_doc d;
+        rr_out_init(&o);
+        g_snprintf(key, sizeof key, RR_ROOT "%s",
+                   keys[g_rand_int_range(rnd, 0, G_N_ELEMENTS(keys))]);
+        int many = g_rand_int_range(rnd, 0, 3);
+        rr_put_map(&o, (size_t)many);
+        for (int k = 0; k < many; k++) {
+            rr_put_text(&o, fields[g_rand_int_range(rnd, 0, G_N_ELEMENTS(fields))]);
+            random_value(rnd, &o, 3);
+        }
+        assert_int_equal(rr_doc_parse(&d, o.buf.data, o.buf.size), 0);
+        rr_core_mirror_put(n->core, key, d.root, 1000 + i, n->now);
+        rr_doc_clear(&d);
+        rr_out_clear(&o);
+        if (i % 500 == 0) {
+            n->now += 0.5;
+            rr_plan_init(&p);
+            rr_core_plan(n->core, n->now, n->now, &p);
+            rr_plan_clear(&p);
+            step(w, "");
+        }
+    }
+    g_rand_free(rnd);
+    fx_submit(w->store, &(struct fx_job){.ref = "req-777"}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    rr_job_view v;
+    rr_core_job_view(n->core, "req-777", n->now, &v);
+    assert_true(v.known);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, fx_world_teardown)
 
 int main(void) {
@@ -469,6 +550,7 @@
                                        T(jobs_accepted_together),
                                        T(an_older_record_revives_nothing),
                                        T(an_unsettled_mirror_decides_nothing),
-                                       T(a_booking_on_a_machine_long_gone)};
+                                       T(a_booking_on_a_machine_long_gone),
+                                       T(malformed_records)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
