--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -540,6 +540,8 @@
 }
 
 #define TIGHT_S 60.0 /* a deadline nearer than this is in danger from a restart */
+#define INTACT_S                                                                                   \
+    10.0 /* loss counted for the first victim of a job: its last task decides when it ends */
 #define FOREIGN_S                                                                                  \
     3.0 /* loss counted for a victim of another owner, who may change its record too */
 
@@ -587,6 +589,7 @@
         room = rr_res_add(room, q->job->need, 1);
         *loss += 1 + (saves ? q->job->s.stash_s : unsaved(q, p->now));
         *loss += v->slack < TIGHT_S ? TIGHT_S - v->slack : 0;
+        *loss += q->job->ndone + q->job->nplaced < q->job->s.pieces ? 0 : INTACT_S;
         *loss += rr_owns_team(p->c, q->job->team) ? 0 : FOREIGN_S;
         g_array_append_val(out, q);
     }
@@ -828,13 +831,18 @@
     }
 }
 
+/* When a task must start to be in time. By deadline alone a task of a long job that lost its place
+ * came last, and with it the whole job. */
+static double latest_start(const rr_job *j) {
+    return j->s.due_s >= 0 ? j->at + j->s.due_s - j->s.guess_s : 1e18;
+}
+
 static gint by_turn(gconstpointer a, gconstpointer b) {
     const rr_job *x = *(const rr_job *const *)a, *y = *(const rr_job *const *)b;
     if (x->s.rank != y->s.rank) {
         return x->s.rank > y->s.rank ? -1 : 1;
     }
-    double dx = x->s.due_s >= 0 ? x->at + x->s.due_s : 1e18;
-    double dy = y->s.due_s >= 0 ? y->at + y->s.due_s : 1e18;
+    double dx = latest_start(x), dy = latest_start(y);
     if (x->s.rank < RR_PROD && dx != dy) {
         return dx < dy ? -1 : 1;
     }
