Completions gather longer; lost places are booked anew in the same change

Ruled out: leaving the ledger's record of a finished job for later, which defers a change and saves none.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -10,7 +10,7 @@
 
 #define RESEND_S 1.5
 #define PLACE_MAX 256 /* placements in one plan at most */
-#define GATHER_S 4.0  /* completions wait this long at most for others of their job */
+#define GATHER_S 8.0  /* completions wait this long at most for others of their job */
 #define RECOUNT_S 60.0
 #define RETRY_MAX_S 2.0 /* a job that found no room is looked at again after this at the latest */
 
@@ -38,12 +38,18 @@
     uint64_t wards;
 };
 
+struct reopened {
+    rr_job *job;
+    uint32_t task;
+};
+
 struct planner {
     rr_core *c;
     double now, wall;
     rr_plan *out;
     GPtrArray *edits;    /* struct edit* */
     GArray *overs;       /* struct over */
+    GArray *reopened;    /* struct reopened */
     GPtrArray *machines; /* rr_machine*: with scratch to clear */
     GPtrArray *guards;   /* rr_job*: guarded against a cancellation in between */
     GArray *failures;    /* struct failure */
@@ -150,6 +156,27 @@
     }
 }
 
+/* A task whose placement ends in this plan may be placed anew in the same change. */
+static void reopen(struct planner *p, rr_job *j, uint32_t task) {
+    struct reopened r = {j, task};
+    if (j->placed && task < j->s.pieces && j->placed[task] == 1 && !j->cancelled &&
+        !rr_job_task_done(j, task)) {
+        j->placed[task] = 0;
+        j->nplaced--;
+        j->hint = MIN(j->hint, task);
+        g_array_append_val(p->reopened, r);
+    }
+}
+
+/* The mirror counts placements as the store has them. */
+static void close_again(struct planner *p) {
+    for (guint i = 0; i < p->reopened->len; i++) {
+        const struct reopened *r = &g_array_index(p->reopened, struct reopened, i);
+        r->job->placed[r->task] = 1;
+        r->job->nplaced++;
+    }
+}
+
 /* Takes a placement out of its record, with its completion if there is one to record. False: the
  * transaction has no room. */
 static bool record_over(struct planner *p, const struct over *o) {
@@ -171,6 +198,9 @@
     rr_item *it = item_in(e, o->attempt, o->task);
     if (it) {
         g_array_remove_index(e->items, (guint)(it - (rr_item *)(void *)e->items->data));
+        if (!o->done) {
+            reopen(p, j, o->task);
+        }
     }
     return true;
 }
@@ -190,7 +220,7 @@
     pl->over_at = pl->over_at > 0 ? pl->over_at : p->now;
     /* What is to run again, or makes room that others wait for, does not wait. */
     o.wait =
-        done && !pl->evict && !j->cancelled && p->now - pl->over_at < GATHER_S * p->c->pressure;
+        (done || j->cancelled) && !pl->evict && p->now - pl->over_at < GATHER_S * p->c->pressure;
     if (done && !rr_job_task_done(j, pl->task)) {
         j->over++;
     }
@@ -1187,6 +1217,8 @@
     g_ptr_array_free(p->machines, TRUE);
     g_ptr_array_free(p->guards, TRUE);
     g_ptr_array_free(p->edits, TRUE);
+    close_again(p);
+    g_array_free(p->reopened, TRUE);
     g_array_free(p->overs, TRUE);
     g_array_free(p->failures, TRUE);
     g_array_free(p->cands, TRUE);
@@ -1199,6 +1231,7 @@
     struct planner p = {.c = c, .now = now, .wall = wall, .out = out};
     p.edits = g_ptr_array_new_with_free_func(edit_free);
     p.overs = g_array_new(FALSE, FALSE, sizeof(struct over));
+    p.reopened = g_array_new(FALSE, FALSE, sizeof(struct reopened));
     p.machines = g_ptr_array_new();
     p.guards = g_ptr_array_new();
     p.failures = g_array_new(FALSE, FALSE, sizeof(struct failure));
@@ -1212,6 +1245,8 @@
     reconcile_dirty(&p);
     record_overs(&p);
     finish_dos(&p);
+    g_ptr_array_free(wait, TRUE);
+    wait = waiting_jobs(&p); /* with those whose tasks have just lost their places */
     p.limit = ops;
     p.full = false;
     bool round = rr_round_due(c, now);
