--- a/src/core/model.h
+++ b/src/core/model.h
@@ -170,6 +170,7 @@
 
 typedef struct {
     guint up, heard; /* machines that were up, and those of them heard lately */
+    guint recent;    /* and in the last part of a report interval */
 } rr_zone_count;
 
 struct rr_core {
--- a/src/core/troubles.c
+++ b/src/core/troubles.c
@@ -94,6 +94,17 @@
     return m->recorded && (m->heard || m->places->len > 0);
 }
 
+/* When a cut begins its machines have been heard at different times, so that the first of them are
+ * silent for as long as a dead one while most still count as fresh. But a machine silent for
+ * dead_reports was cut off more than RECENT of an interval ago, and then nobody in its zone has
+ * been heard for that long: in a healthy one two thirds have. */
+#define RECENT 0.65
+#define RECENT_SHARE 0.3
+
+static bool heard_recently(const rr_core *c, const rr_machine *m, double now) {
+    return m->heard && now - m->heard_at <= RECENT * c->cfg->report_s;
+}
+
 /* One walk for all zones. */
 static void count_zones(rr_core *c, double now) {
     g_array_set_size(c->zones, 0);
@@ -104,6 +115,7 @@
             rr_zone_count *z = &g_array_index(c->zones, rr_zone_count, m->ward);
             z->up++;
             z->heard += rr_machine_fresh(c, m, now);
+            z->recent += heard_recently(c, m, now);
         }
     }
 }
@@ -116,8 +128,9 @@
     if (but && was_up(but)) {
         z.up--;
         z.heard -= rr_machine_fresh(c, but, now) && z.heard > 0;
+        z.recent -= heard_recently(c, but, now) && z.recent > 0;
     }
-    return z.heard * 2 < z.up;
+    return z.heard * 2 < z.up || z.recent < RECENT_SHARE * z.up;
 }
 
 bool rr_zone_silent(const rr_core *c, int ward) {
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -211,6 +211,48 @@
     g_array_free(stones, TRUE);
 }
 
+/* A cut begins: its machines were heard at different times, and the probes of all fail. The first
+ * of them reach the age of a dead one while most of the zone still counts as fresh. */
+static void a_cut_begins_with_staggered_reports(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    char id[16];
+    n->cfg.tune.dead_reports = 1.9;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    for (int i = 1; i <= 12; i++) {
+        g_snprintf(id, sizeof id, "vm-%d", i);
+        fx_machine(w->store, id, "a", false, true);
+        add_stone(stones, id, RR_STONE_RUNNING, 100);
+    }
+    fx_sync(w->store, n->core, n->now);
+    for (uint64_t t = 1; t < 160; t++) {
+        n->now += 0.25;
+        for (int i = 1; i <= 12 && t < 40; i++) {
+            g_snprintf(id, sizeof id, "vm-%d", i);
+            if ((t + (uint64_t)i) % 12 == 0) { /* each every three seconds */
+                fx_report(n, id, "a", false, 1, t, rr_core_token(n->core), NULL);
+            }
+        }
+        if (t < 40) {
+            plan_reaching(n, "vm-1");
+        } else {
+            plan_unreachable(n);
+        }
+        rr_step_init(&s);
+        rr_core_steward_step(n->core, n->now, n->now, &s);
+        assert_int_not_equal(s.kind, RR_STEP_RELEASE);
+        if (s.kind == RR_STEP_TXN) {
+            fx_commit(w->store, &s.txn);
+            fx_sync(w->store, n->core, n->now);
+        } else if (s.kind == RR_STEP_LIST) {
+            rr_core_listed(n->core, n->now, n->now, n->now, stones);
+        }
+        rr_step_clear(&s);
+    }
+    g_array_free(stones, TRUE);
+}
+
 /* A steward that restarted while a zone was cut has never heard most of it. It gave up fourteen
  * healthy machines one after the other, since it compared each with the few it had heard. */
 static void a_restart_into_a_cut(void **state) {
@@ -372,6 +414,7 @@
                                        T(names_are_not_reused),
                                        T(adoption_and_idle_return),
                                        T(a_cut_zone_is_left_a_dead_machine_is_not),
+                                       T(a_cut_begins_with_staggered_reports),
                                        T(a_restart_into_a_cut),
                                        T(probes_are_few),
                                        T(missing_from_a_late_list),
