--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -161,7 +161,6 @@
 void rr_candidates(rr_core *c, const rr_job *j, const struct rr_choice *how, double now,
                    GArray *out) {
     bool urgent = rr_objective_for(c, "wait", j->s.lane) != NULL;
-    guint live = c->term.nodes->len, me = rr_term_place(c);
     g_array_set_size(out, 0);
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
@@ -182,7 +181,8 @@
         if (!urgent && j->s.guess_s > 0 && !rr_zone_bound(j)) {
             k.price *= 1 + fetch / j->s.guess_s;
         }
-        k.foreign = live > 1 && part_of(m) % live != me;
+        /* A replica that is planned anew settles where it is, if it can. */
+        k.foreign = !how->home && c->parts > 1 && part_of(m) % c->parts != c->part;
         if (k.foreign && c->pressure > SHORT) {
             k.trouble += 0.5;
         }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -190,6 +190,7 @@
     GArray *team_used;         /* rr_res by team: all placements in the ledger */
     GArray *team_booked;       /* rr_res by team: scratch of one plan */
     GArray *owners;            /* int by configured team: place in the term of its owner */
+    guint parts, part;         /* owners of teams in this term; which of them this controller is */
     int steward;               /* place in the term, -1 */
     int peer_at[RR_MAX_NODES]; /* by place in the term: index of the peer, -1: this controller */
     unsigned plans;
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -525,8 +525,10 @@
     return k;
 }
 
-/* Puts up to n tasks of the job on machines there are; returns how many found no room. */
-static uint32_t fill_machines(struct sim *s, const rr_job *j, const bool *wards, uint32_t n) {
+/* Puts up to n tasks of the job on machines there are, so many on each at most; returns how many
+ * found no room. */
+static uint32_t fill_machines(struct sim *s, const rr_job *j, const bool *wards, uint32_t n,
+                              uint32_t each) {
     rr_core *c = s->c;
     guint kept = 0;
     guint i = 0;
@@ -534,7 +536,7 @@
         rr_machine *m = g_ptr_array_index(s->roomy, i);
         c->visits++;
         if (m->ward >= 0 && wards[m->ward] && rr_job_allows(c, j, m->build, m->ward, m->loaners)) {
-            uint32_t k = tasks_in(j->need, m->sim, j->s.shape == RR_SERVICE ? MIN(n, 1) : n);
+            uint32_t k = tasks_in(j->need, m->sim, MIN(n, each));
             m->sim = rr_res_add(m->sim, j->need, -(double)k);
             m->surplus = m->surplus && k == 0;
             n -= k;
@@ -612,8 +614,9 @@
 
 /* Finds room for n more tasks: on machines there are, or on machines to rent. A job spread over
  * zones rents in turn where it may still go. */
-static void demand(struct sim *s, const rr_job *j, bool *wards, uint32_t n, bool may_rent) {
-    n = fill_machines(s, j, wards, n);
+static void demand(struct sim *s, const rr_job *j, bool *wards, uint32_t n, uint32_t each,
+                   bool may_rent) {
+    n = fill_machines(s, j, wards, n, each);
     for (; may_rent && n > 0; n--) {
         if (into_rents(s, j, wards)) {
             continue;
@@ -666,7 +669,8 @@
         if (t->gpus_max > 0 && j->need.gpu > 0) {
             n = MIN(n, (uint32_t)(t->gpus_max / j->need.gpu + 1));
         }
-        demand(s, j, wards, n, must_rent(c, j, s->wall));
+        /* A service's replicas keep separate machines. */
+        demand(s, j, wards, n, j->s.shape == RR_SERVICE ? 1 : n, must_rent(c, j, s->wall));
     }
 }
 
@@ -726,7 +730,7 @@
         }
         credit_preemptible(c, last, o->within_s, s->now);
         sort_roomy(s);
-        demand(s, last, wards, (uint32_t)MAX(n, 0), true);
+        demand(s, last, wards, (uint32_t)MAX(n, 0), (uint32_t)MAX(n, 0), true);
     }
 }
 
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -125,6 +125,11 @@
         g_array_append_val(c->owners, place);
     }
     c->steward = steward_place(c);
+    c->parts = c->part = 0;
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        c->part = i == rr_term_place(c) ? c->parts : c->part;
+        c->parts += teams_at(c, (int)i) > 0;
+    }
     for (guint i = 0; i < c->term.nodes->len && i < RR_MAX_NODES; i++) {
         c->peer_at[i] = -1;
         for (size_t k = 0; k < c->cfg->npeers; k++) {
