A victim makes room once

Cause: free room on paper had what the plan stops already, and the search for victims added it again: the next replica was booked there too, refused, and fetched its image elsewhere. Test seen to fail without the guard.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -600,7 +600,12 @@
     g_array_set_size(out, 0);
     for (guint i = 0; i < m->places->len; i++) {
         rr_place *q = &g_array_index(m->places, rr_place, i);
-        if (q->evict || q->leaving) {
+        /* Free room has what is over, and what this plan stops, already: counted once more, the
+         * same victim made room for two. */
+        if (q->leaving || q->over_at > 0) {
+            continue;
+        }
+        if (q->evict) {
             room = rr_res_add(room, q->job->need, 1);
         } else if (may_stop(p, j, q, owed, taken)) {
             struct victim v = {q, slack_of(q, p->now, p->wall)};
--- a/tests/test_core_design.c
+++ b/tests/test_core_design.c
@@ -271,10 +271,37 @@
     rr_plan_clear(&p);
 }
 
+/* One victim makes room for one: counted twice, its room was booked for two replicas, and the
+ * worker refused the second. */
+static void a_victim_makes_room_once(void **state) {
+    fx_world *w = *state;
+    fx_machine(w->store, "vm-1", "a", false, false);
+    empty_report(&w->n, "vm-1", "a", false, 1);
+    submit(w, &(struct fx_job){
+                  .ref = "req-1", .cpu = 8, .rank = "prod", .lane = "live", .service = true});
+    submit(w, &(struct fx_job){.ref = "req-2", .cpu = 8, .rank = "low"});
+    plan_once(&w->n);
+    uint64_t low = fx_booked(w->store, "vm-1", "req-2", 0);
+    assert_true(low != 0);
+    char *r1 = running("req-1", fx_booked(w->store, "vm-1", "req-1", 0));
+    char *r2 = running("req-2", low);
+    fx_report(&w->n, "vm-1", "a", false, 1, 2, rr_core_token(w->n.core), r1, r2, NULL);
+    submit(w, &(struct fx_job){
+                  .ref = "req-3", .cpu = 8, .rank = "prod", .lane = "live", .service = true});
+    submit(w, &(struct fx_job){
+                  .ref = "req-4", .cpu = 8, .rank = "prod", .lane = "live", .service = true});
+    plan_once(&w->n);
+    assert_int_equal(fx_placed(w->store, "req-3") + fx_placed(w->store, "req-4"), 1);
+    g_free(r1);
+    g_free(r2);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
     const struct CMUnitTest tests[] = {
+        T(a_victim_makes_room_once),
+
         T(fullest_machine_first),           T(cheap_machines_for_those_who_may),
         T(zone_group_to_the_emptier_zone),  T(spread_over_zones_and_machines),
         T(stale_room_takes_nothing),        T(a_round_empties_a_priced_machine),
