--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -399,6 +399,7 @@
 /* ---- users' commits and barriers ---- */
 
 #define BATCH_MAX 96
+#define BATCH_BYTES ((size_t)40 * 1024)
 
 /* What one transaction takes of the queue: changes, guards (one a job, one a batch, four for each
  * change at most) and bytes are bounded. New jobs share records. */
@@ -418,7 +419,7 @@
     size_t size = json_size(u), most = (size_t)(cfg->value_kb * 1024) - 64;
     bool joins = u->accepts && b->open > 0 && b->open + size <= most;
     guint records = b->records + !joins;
-    if (b->n == BATCH_MAX || records > (guint)cfg->txn_ops || b->bytes + size > 40 * 1024 ||
+    if (b->n == BATCH_MAX || records > (guint)cfg->txn_ops || b->bytes + size > BATCH_BYTES ||
         b->n + 1 + records > 4 * (guint)cfg->txn_ops) {
         return b->n == 0;
     }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -97,18 +97,19 @@
     bool loaners;
     /* ledger */
     bool recorded, own, ret;
-    bool gone;   /* was recorded: proven gone, with all that was on it */
+    bool gone; /* was recorded: proven gone, with all that was on it */
+    bool keep;
+    bool dirty;  /* on the core's list of machines to reconcile */
     double born; /* wall */
     uint32_t page;
     double ret_at;  /* when the mirror first showed ret */
     GArray *places; /* rr_place */
     rr_res used;
-    bool keep;
-    bool dirty; /* on the core's list of machines to reconcile */
     /* observed */
     bool heard;
     bool young;   /* recorded while this process watched */
     bool vouched; /* by a live exchange with this process: not only by reports, which may be late */
+    bool do_inflight;
     unsigned stale_answers; /* in a row that were older than its last report */
     double stale_at;
     unsigned unanswered;  /* commands in a row that got no answer */
@@ -125,19 +126,18 @@
     double err_at, full_until;
     GHashTable *lost; /* attempts with an unanswered start under lost_token/lost_tenure */
     uint64_t lost_token, lost_tenure;
-    bool do_inflight;
     double do_next;
     void *plan_do; /* scratch of one plan: rr_do */
     /* steward */
     bool listed, list_failed, to_adopt, hired, give_up, dead, releasing;
-    double listed_at, idle_since, probed_at;
     bool surplus;
     int probe_fails;
+    double listed_at, idle_since, probed_at;
     /* scratch of one plan or simulation */
     rr_res sim;
     int booked_cast; /* image of the last task booked here in this plan, -1 */
-    GArray *booked;  /* rr_job*: booked here in this plan; NULL: none */
     bool emptied;
+    GArray *booked; /* rr_job*: booked here in this plan; NULL: none */
     guint leaving, arriving;
 };
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -11,6 +11,7 @@
 #define RESEND_S 1.5
 #define PLACE_MAX 256 /* placements in one plan at most */
 #define GATHER_S 8.0  /* completions wait this long at most for others of their job */
+#define TXN_BYTES ((size_t)48 * 1024) /* of the store's 64 KiB for a transaction */
 #define RECOUNT_S 60.0
 #define RETRY_MAX_S 2.0 /* a job that found no room is looked at again after this at the latest */
 
@@ -93,7 +94,7 @@
 }
 
 static bool txn_room(struct planner *p, int ops, size_t bytes) {
-    if (p->ops + ops > p->limit || p->bytes + bytes > 48 * 1024) {
+    if (p->ops + ops > p->limit || p->bytes + bytes > TXN_BYTES) {
         p->full = true;
         return false;
     }
@@ -1310,7 +1311,8 @@
 
 static void probe_result(rr_core *c, rr_machine *m, double now, bool answered) {
     if (answered) {
-        m->probe_fails = m->deaf_probes = m->unanswered = 0;
+        m->probe_fails = 0;
+        m->deaf_probes = m->unanswered = 0;
         m->suspect_until = 0;
         return;
     }
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -157,7 +157,8 @@
     r->pieces = NULL;
     m->heard = true;
     m->heard_at = now;
-    m->probe_fails = m->stale_answers = 0;
+    m->probe_fails = 0;
+    m->stale_answers = 0;
     m->via = via;
     if (changed) {
         note_casts(c, m);
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -824,7 +824,8 @@
         m->list_failed = m->listed = m->surplus = m->dead = m->releasing = false;
         m->give_up = m->ret; /* what was to go back goes, unless it is judged to have work */
         m->dead = m->ret && m->places->len > 0 && !rr_machine_fresh(c, m, now);
-        m->probe_fails = m->deaf_probes = 0;
+        m->probe_fails = 0;
+        m->deaf_probes = 0;
     }
     GHashTableIter it;
     gpointer v;
