--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -20,7 +20,7 @@
 #define IDLE_S 20
 
 #define GATHER_S 0.03 /* what else comes in this time goes with the same send */
-#define BEAT_S 1.0    /* lists of machines heard, and of peers */
+#define BEAT_S 0.5    /* lists of machines heard, and of peers: a silence is seen later by this */
 #define HEARS_S 4.0   /* a peer heard not longer ago is heard */
 #define LIST_MAX 512  /* machines in a frame */
 #define RARELY_S 15.0
