--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -201,12 +201,56 @@
     assert_int_equal(world_rented(s->w), 1);
 }
 
+static void ref_of(int i, char *out, size_t size) {
+    /* The stand-in's worker ends what is named so, and runs the rest until it is stopped. */
+    g_snprintf(out, size, i % 3 == 0 ? "req-17%04d" : "req-57%04d", i);
+}
+
+/* Once all troubles are over, an outage with a restart in it here, every job that was accepted is
+ * answered for, open, done or cancelled, well within the time after which it would count as
+ * forgotten; also while the restarted controller still reads its mirror. */
+static void every_job_is_known_after_the_troubles(void **state) {
+    struct service *s = *state;
+    char ref[32], got[32];
+    for (int i = 0; i < 24; i++) {
+        ref_of(i, ref, sizeof ref);
+        assert_int_equal(submit(s->app, ref, 1, i % 3 != 0), 201);
+        if (i % 3 == 2) {
+            assert_int_equal(cancel(s->app, ref), 200);
+        }
+    }
+    for (int i = 0; i < 24; i += 3) {
+        ref_of(i, ref, sizeof ref);
+        wait_standing(s->app, ref, "done");
+    }
+    world_store_down(s->w, true);
+    stop_app(s->app);
+    s->app = start_app(s->w, "n0");
+    assert_string_equal(poll_standing(s->app, "req-170000", got, sizeof got), "");
+    world_store_down(s->w, false);
+    double until = rr_now() + 75;
+    for (int i = 0; i < 24; i++) {
+        ref_of(i, ref, sizeof ref);
+        while (!*poll_standing(s->app, ref, got, sizeof got)) {
+            assert_true(rr_now() < until);
+            rr_sleep(0.02);
+        }
+        assert_true(i % 3 == 0   ? strcmp(got, "done") == 0
+                    : i % 3 == 2 ? strcmp(got, "aborted") == 0
+                                 : strcmp(got, "running") == 0 || strcmp(got, "queued") == 0);
+    }
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
-    const struct CMUnitTest tests[] = {
-        T(runs_an_array_and_cancels_a_service), T(bad_requests), T(an_unanswered_commit),
-        T(no_older_answer_elsewhere),           T(an_outage),    T(a_restart_goes_on)};
+    const struct CMUnitTest tests[] = {T(runs_an_array_and_cancels_a_service),
+                                       T(bad_requests),
+                                       T(an_unanswered_commit),
+                                       T(no_older_answer_elsewhere),
+                                       T(an_outage),
+                                       T(a_restart_goes_on),
+                                       T(every_job_is_known_after_the_troubles)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
