--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -4,6 +4,8 @@
 #include "fakes.h"
 
 #include "app/clock.h"
+#include "app/log.h"
+#include "net/client.h"
 #include "world.h"
 
 #include <pthread.h>
@@ -138,5 +140,7 @@
         jobs = n > 0 && n <= JOBS_MAX ? (unsigned)n : jobs;
     }
     const struct CMUnitTest tests[] = {cmocka_unit_test(many_jobs_to_their_end)};
+    rr_net_init();
+    rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
