--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -519,3 +519,14 @@
     }
     return n;
 }
+
+void fx_steward_step(fx_node *n, const GArray *stones, rr_step *out) {
+    rr_step_init(out);
+    rr_core_steward_step(n->core, n->now, n->now, out);
+    if (out->kind == RR_STEP_TXN) {
+        fx_commit(n->store, &out->txn);
+        fx_sync(n->store, n->core, n->now);
+    } else if (out->kind == RR_STEP_LIST) {
+        rr_core_listed(n->core, n->now, n->now, n->now, stones);
+    }
+}
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -72,6 +72,9 @@
 /* Report builder: tasks as "ref task attempt standing[:cause]", NULL-ended. */
 void fx_report(fx_node *n, const char *id, const char *ward, bool loaners, uint64_t tenure,
                uint64_t tally, uint64_t warrant, ...);
+/* One step of the steward: records are committed, a list is answered with `stones` (rr_stone); what
+ * else it asks for is the caller's. rr_step_clear() after. */
+void fx_steward_step(fx_node *n, const GArray *stones, rr_step *out);
 /* Many machines in few records, all of which have reported empty. */
 void fx_fleet(fx_node *n, int first, int many, const char *ward);
 /* Plans, commits and syncs once; the commands are in *p until rr_plan_clear(). 1: committed. */
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -191,14 +191,8 @@
         fx_report(n, "vm-1", "a", false, 1, i, 1, NULL);
         fx_report(n, "vm-2", "a", false, 1, i, 1, NULL);
         plan_unreachable(n);
-        rr_step_init(&s);
-        rr_core_steward_step(n->core, n->now, n->now, &s);
-        if (s.kind == RR_STEP_TXN) {
-            fx_commit(w->store, &s.txn);
-            fx_sync(w->store, n->core, n->now);
-        } else if (s.kind == RR_STEP_LIST) {
-            rr_core_listed(n->core, n->now, n->now, n->now, stones);
-        } else if (s.kind == RR_STEP_RELEASE) {
+        fx_steward_step(n, stones, &s);
+        if (s.kind == RR_STEP_RELEASE) {
             asked = true;
             assert_true(i > n->cfg.tune.dead_reports * n->cfg.report_s);
             assert_int_equal(s.stones->len, 1);
@@ -239,15 +233,8 @@
         } else {
             plan_unreachable(n);
         }
-        rr_step_init(&s);
-        rr_core_steward_step(n->core, n->now, n->now, &s);
+        fx_steward_step(n, stones, &s);
         assert_int_not_equal(s.kind, RR_STEP_RELEASE);
-        if (s.kind == RR_STEP_TXN) {
-            fx_commit(w->store, &s.txn);
-            fx_sync(w->store, n->core, n->now);
-        } else if (s.kind == RR_STEP_LIST) {
-            rr_core_listed(n->core, n->now, n->now, n->now, stones);
-        }
         rr_step_clear(&s);
     }
     g_array_free(stones, TRUE);
--- a/tests/test_core_troubles.c
+++ b/tests/test_core_troubles.c
@@ -46,21 +46,15 @@
     rr_step s;
     GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
     bool asked = false;
-    rr_step_init(&s);
-    rr_core_steward_step(n->core, n->now, n->now, &s);
-    if (s.kind == RR_STEP_TXN) {
-        fx_commit(w->store, &s.txn);
-        fx_sync(w->store, n->core, n->now);
-    } else if (s.kind == RR_STEP_LIST) {
-        for (int i = 1; i <= 2; i++) {
-            rr_stone st = {.state = RR_STONE_RUNNING, .age_s = 500};
-            g_snprintf(st.id, sizeof st.id, "vm-%d", i);
-            g_strlcpy(st.build, "m1", sizeof st.build);
-            g_strlcpy(st.ward, i == 1 ? "a" : "b", sizeof st.ward);
-            g_array_append_val(stones, st);
-        }
-        rr_core_listed(n->core, n->now, n->now, n->now, stones);
-    } else if (s.kind == RR_STEP_RELEASE) {
+    for (int i = 1; i <= 2; i++) {
+        rr_stone st = {.state = RR_STONE_RUNNING, .age_s = 500};
+        g_snprintf(st.id, sizeof st.id, "vm-%d", i);
+        g_strlcpy(st.build, "m1", sizeof st.build);
+        g_strlcpy(st.ward, i == 1 ? "a" : "b", sizeof st.ward);
+        g_array_append_val(stones, st);
+    }
+    fx_steward_step(n, stones, &s);
+    if (s.kind == RR_STEP_RELEASE) {
         for (guint i = 0; i < s.stones->len; i++) {
             asked = asked || strcmp(s.stones->pdata[i], id) == 0;
         }
