Reports are answered as long as cancellations allow, from the mirror's last sure moment

What bounds the time is not the session but how old the mirror's knowledge of cancellations may be: it now runs from the moment a watch was sent whose answer the mirror has, which a successful renewal never proved.

--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -50,12 +50,11 @@
 /* Our steady clock may run slow against the store's: drift and a little more come off. */
 static void set_session(struct rr_app *a, uint64_t tether, double sent) {
     double until = sent + rr_session_s(&a->cfg) * 0.998 - 0.1;
-    double answer = sent + rr_answer_s(&a->cfg) * 0.998 - 0.1;
     pthread_mutex_lock(&a->user_lock);
     a->tether = tether;
     pthread_mutex_unlock(&a->user_lock);
     pthread_mutex_lock(&a->lock);
-    rr_core_set_session(a->core, tether, tether ? until : 0, tether ? answer : 0);
+    rr_core_set_session(a->core, tether, tether ? until : 0);
     rr_app_kick(a);
     pthread_cond_broadcast(&a->mirrored);
     pthread_mutex_unlock(&a->lock);
@@ -258,6 +257,7 @@
  * the first page come with the watch; older marks never undo newer ones. */
 static int reread(struct rr_app *a, rr_store *s) {
     GPtrArray *docs = g_ptr_array_new();
+    double began = rr_now();
     char from[256] = "";
     uint64_t first = 0, last = 0;
     bool more = true;
@@ -301,6 +301,7 @@
         }
         rr_core_mirror_end(a->core, first, last, now);
         rr_core_set_epoch(a->core, first);
+        rr_core_set_fresh(a->core, began);
         pthread_cond_broadcast(&a->mirrored);
         rr_app_kick(a);
     }
@@ -313,8 +314,9 @@
     return rc;
 }
 
-/* The log comes in no promised order; a record may speak of an older one, so by mark. */
-static int apply_log(struct rr_app *a, const rr_doc *d) {
+/* The log comes in no promised order; a record may speak of an older one, so by mark. It answers a
+ * request sent at `asked` and has every change made before. */
+static int apply_log(struct rr_app *a, const rr_doc *d, double asked) {
     const msgpack_object *log = rr_get(d->root, "log");
     uint64_t epoch;
     if (!rr_get_u64(d->root, "epoch", &epoch) || (log && log->type != MSGPACK_OBJECT_ARRAY)) {
@@ -347,6 +349,7 @@
         }
     }
     rr_core_set_epoch(a->core, epoch);
+    rr_core_set_fresh(a->core, asked);
     a->store_ok_at = now;
     pthread_cond_broadcast(&a->mirrored);
     if (rows->len) {
@@ -358,6 +361,10 @@
     return 0;
 }
 
+/* Short, since an open watch says nothing of the time since it was opened, and answers to workers
+ * are bounded by how old the mirror may be. */
+#define WATCH_MS 2000
+
 void *rr_duty_watch(void *app) {
     struct rr_app *a = app;
     rr_store *s = open_store(a);
@@ -380,9 +387,9 @@
          * gather, so that watches take a quarter of the limit of requests at most. */
         pause_for(a, opened + 4.0 * (live ? live : 1) / a->cfg.state_rps - rr_now());
         opened = rr_now();
-        int rc = rr_store_watch(s, RR_ROOT, from, 8000, &d);
+        int rc = rr_store_watch(s, RR_ROOT, from, WATCH_MS, &d);
         if (rc == 0) {
-            rc = apply_log(a, &d);
+            rc = apply_log(a, &d, opened);
             rr_doc_clear(&d);
         }
         if (rc == -ESTALE) {
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -164,7 +164,7 @@
     opt_num(l, "deployment.limits.ram_mb", 16, 1e7, 200, &c->ram_mb);
     opt_num(l, "deployment.limits.max_sockets", 16, 1e7, 1024, &n);
     c->max_sockets = (int)n;
-    if (!l->failed && c->cancel_s <= c->lease_s) {
+    if (!l->failed && c->cancel_s <= 1.01 * c->lease_s) {
         fail(l, "deployment.workers.cancel_s", "must be more than lease_s");
     }
 }
@@ -185,7 +185,7 @@
     KNOB(round_moves, 4, 1, 1000, true),
     KNOB(round_share, 0.025, 0, 1, false),
     KNOB(session_share, 0.35, 0.05, 0.8, false),
-    KNOB(answer_share, 0.6, 0.05, 0.8, false),
+    KNOB(answer_share, 1, 0.05, 1, false),
     KNOB(silent_reports, 2.0, 1.3, 100, false),
     KNOB(dead_reports, 1.9, 1.5, 1000, false),
     KNOB(idle_return_s, 6, 0, 86400, false),
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -42,7 +42,8 @@
     double round_share;    /* or this share of the machines, if that is more */
     bool rounds;           /* false: no re-orchestration */
     double session_share;  /* session time as a share of cancel_s - lease_s */
-    double answer_share;   /* how long reports are answered without a renewal, likewise */
+    double answer_share;   /* how long reports are answered by a mirror that stands still, as a
+                              share of what cancellations allow */
     double silent_reports; /* reports missed before a machine takes no new work */
     double dead_reports;   /* reports missed before a lone silent machine is given up */
     double idle_return_s;  /* idle time before a rented machine goes back */
@@ -80,11 +81,13 @@
     return c->tune.session_share * (c->cancel_s - c->lease_s);
 }
 
-/* A worker served by a controller that hears of no cancellation must still end in time, so this
- * time
- * + lease_s + time to stop stays below cancel_s (answer_share is at most 0.8). */
+/* How long reports are answered by a mirror that learns of no cancellation, from the last moment up
+ * to which it knows them all. A worker answered last at the end of this time ends by its lease, and
+ * that must be within cancel_s of any cancellation that this controller can't know: the rest is for
+ * the drift of two clocks and the stop itself. */
 static inline double rr_answer_s(const struct rr_config *c) {
-    return c->tune.answer_share * (c->cancel_s - c->lease_s);
+    double room = c->cancel_s - c->lease_s;
+    return c->tune.answer_share * (room - (room < 5 ? 0.2 * room : 1) - 0.002 * c->cancel_s);
 }
 
 #endif
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -41,9 +41,11 @@
 bool rr_core_loaded(const rr_core *c);
 
 /* ---- sessions and terms ---- */
-/* Our own session: its lease, until when it surely holds (then we may plan), and until when
- * workers' reports may be answered, which is longer. */
-void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until, double answer_until);
+/* Our own session: its lease, and until when it surely holds: until then we may plan. */
+void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until);
+/* The mirror has every change made before this time: workers' reports may be answered for
+ * rr_answer_s from there, longer than the session lasts. */
+void rr_core_set_fresh(rr_core *c, double at);
 bool rr_core_entitled(const rr_core *c, double now);
 /* Whether our node key stands in the mirror with this lease. */
 bool rr_core_session_seen(const rr_core *c, uint64_t tether);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -215,7 +215,8 @@
     int changes;     /* that a plan may make now */
     int log_level;
     uint64_t tether;
-    double entitled_until, answer_until;
+    double entitled_until;
+    double fresh_at;  /* the mirror has every change made before */
     uint64_t counter; /* for attempts and request names, with the token */
     /* steward */
     double steward_since, list_at, sim_at;
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -3,12 +3,15 @@
 
 #include <string.h>
 
-void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until, double answer_until) {
+void rr_core_set_session(rr_core *c, uint64_t tether, double entitled_until) {
     c->tether = tether;
-    c->answer_until = answer_until;
     c->entitled_until = entitled_until;
 }
 
+void rr_core_set_fresh(rr_core *c, double at) {
+    c->fresh_at = at > c->fresh_at ? at : c->fresh_at;
+}
+
 bool rr_core_session_seen(const rr_core *c, uint64_t tether) {
     const rr_session *s = g_hash_table_lookup(c->sessions, c->cfg->node_name);
     return s && s->tether == tether;
