Links between controllers are made anew when the peer does not say that it hears us

Log: after the cut healed, bookings of the owner were answered and never seen to run. One controller's outgoing link to the owner had died in the cut without a reset: its sends succeeded and reached nobody, while a third controller's lines said that the machines were alive. Ruled out: late starts, lost leases, refusals. Lines also counted as heard what a cut or a standstill had held up. Now each peer's own list must name us, or the connection is made anew; frames carry their time of day and are dropped when older than a report interval.

--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -22,7 +22,8 @@
 #define GATHER_S 0.03 /* what else comes in this time goes with the same send */
 #define BEAT_S 0.5    /* lists of machines heard, and of peers: a silence is seen later by this */
 #define HEARS_S 4.0   /* a peer heard not longer ago is heard */
-#define LIST_MAX 512  /* machines in a frame */
+#define PATIENCE_MAX_S 30.0
+#define LIST_MAX 512 /* machines in a frame */
 #define RARELY_S 15.0
 #define REFRESH_S 30.0 /* a content is sent again after this, whatever was sent before */
 #define SENT_KEEP_S 120.0
@@ -37,9 +38,12 @@
     GHashTable *heard[2]; /* stone -> rr_heard, by hops */
     GPtrArray *suspects;  /* char* */
     unsigned life;        /* counts losses: what was sent before may not have arrived */
+    double up_at;         /* since when our connection to it stands */
+    double patience;      /* how long it may stand without a sign that it works */
     /* What the peer last said of whom it hears, by index of ours. */
-    double heard_at, said_at; /* when we last heard it, when it last said so */
-    bool hears[RR_MAX_NODES];
+    double
+        heard_at; /* when it last said so: on its link to us, nothing else shows that that works */
+    bool hears[RR_MAX_NODES], hears_us;
 };
 
 /* What each peer was last sent of a machine. */
@@ -69,7 +73,8 @@
 
 struct conn {
     rr_peers *owner;
-    int fd;
+    int fd, peer; /* -1: not greeted yet */
+    bool late;    /* what comes now was sent long ago */
 };
 
 /* ---- sockets ---- */
@@ -203,6 +208,10 @@
     pthread_cond_timedwait(c, m, &ts);
 }
 
+static bool heard_lately(const struct link *l, double now) {
+    return l->heard_at > 0 && now - l->heard_at < HEARS_S;
+}
+
 static void put_list(struct link *l, unsigned hops, GByteArray *out, double now) {
     const rr_peers *p = l->owner;
     GHashTableIter it;
@@ -211,11 +220,11 @@
     uint16_t hears = 0, n = 0;
     rr_frame_u8(out, (uint8_t)hops);
     for (size_t i = 0; i < p->cfg->npeers; i++) {
-        hears += now - p->links[i].heard_at < HEARS_S && p->links[i].heard_at > 0;
+        hears += heard_lately(&p->links[i], now);
     }
     rr_frame_u16(out, hears);
     for (size_t i = 0; i < p->cfg->npeers; i++) {
-        if (now - p->links[i].heard_at < HEARS_S && p->links[i].heard_at > 0) {
+        if (heard_lately(&p->links[i], now)) {
             rr_frame_text(out, p->cfg->peers[i].name);
         }
     }
@@ -260,6 +269,9 @@
     }
     pthread_mutex_lock(&p->lock);
     GBytes *b;
+    guint head = rr_frame_begin(out, RR_FRAME_SENT_AT);
+    rr_frame_u64(out, (uint64_t)(rr_wall() * 1000));
+    rr_frame_end(out, head);
     while (out->len < RR_FRAME_MAX && (b = g_queue_pop_head(&l->queue))) {
         gsize n;
         const void *data = g_bytes_get_data(b, &n);
@@ -295,6 +307,21 @@
     pthread_mutex_unlock(&l->owner->lock);
 }
 
+/* A connection may take what is sent and bring nothing across: after a cut the other side had given
+ * it up, and no reset ever came back. The reports of a quarter of the machines were lost on one for
+ * good, while a third controller's lines said that the machines were alive, so that their tasks
+ * were neither seen to run nor placed anew. So the peer has to say that it hears us; where it does
+ * not, or is not heard itself, the connection is made anew, less and less often. */
+static bool is_dead(struct link *l, double now) {
+    rr_peers *p = l->owner;
+    pthread_mutex_lock(&p->lock);
+    bool works = heard_lately(l, now) && l->hears_us;
+    bool dead = !works && now - l->up_at > l->patience;
+    l->patience = works ? HEARS_S : dead ? MIN(2 * l->patience, PATIENCE_MAX_S) : l->patience;
+    pthread_mutex_unlock(&p->lock);
+    return dead;
+}
+
 static int link_send(struct link *l, int *fd, const GByteArray *frames) {
     const struct rr_peer_config *peer = &l->owner->cfg->peers[l->index];
     if (*fd < 0) {
@@ -302,6 +329,9 @@
         if (*fd < 0) {
             return -EIO;
         }
+        pthread_mutex_lock(&l->owner->lock);
+        l->up_at = rr_now();
+        pthread_mutex_unlock(&l->owner->lock);
         GByteArray *hello = g_byte_array_new();
         frame_hello(l->owner, hello);
         int rc = send_all(*fd, hello->data, hello->len);
@@ -319,9 +349,12 @@
     double beat = 0;
     int fd = -1;
     while (gather(l, frames, &beat)) {
-        if (frames->len > 0 && link_send(l, &fd, frames) != 0) {
+        bool dead = fd >= 0 && is_dead(l, rr_now());
+        if (dead || link_send(l, &fd, frames) != 0) {
             if (fd >= 0) {
                 close(fd);
+                rr_log(RR_INFO_LEVEL, "link to %s lost%s", l->owner->cfg->peers[l->index].name,
+                       dead ? ": it does not say that it hears us" : "");
             }
             fd = -1;
             forget_queue(l);
@@ -425,8 +458,7 @@
     double now = rr_now();
     for (size_t i = 0; i < p->cfg->npeers; i++) {
         struct link *l = &p->links[i];
-        bool lacks =
-            (int)i != from && l->said_at > 0 && now - l->said_at < HEARS_S && !l->hears[from];
+        bool lacks = (int)i != from && heard_lately(l, now) && !l->hears[from];
         if (lacks && body) {
             whole = whole ? whole : payload_of(1, body, len);
             queue_whole(l, whole);
@@ -509,7 +541,7 @@
 /* The nodes that the peer hears, then the machines. */
 static int serve_heard(rr_peers *p, int peer, rr_unpack *u) {
     struct link *l = &p->links[peer];
-    bool hears[RR_MAX_NODES] = {false};
+    bool hears[RR_MAX_NODES] = {false}, hears_us = false;
     char name[RR_NAME];
     unsigned hops = rr_unpack_u8(u);
     uint16_t nodes = rr_unpack_u16(u);
@@ -518,6 +550,7 @@
         if (k >= 0) {
             hears[k] = true;
         }
+        hears_us = hears_us || strcmp(name, p->cfg->node_name) == 0;
     }
     uint16_t n = rr_unpack_u16(u);
     if (u->bad || n > LIST_MAX || hops > 1) {
@@ -533,7 +566,8 @@
     if (!u->bad) {
         pthread_mutex_lock(&p->lock);
         memcpy(l->hears, hears, sizeof hears);
-        l->said_at = rr_now();
+        l->hears_us = hears_us;
+        l->heard_at = rr_now();
         pthread_mutex_unlock(&p->lock);
         p->ev.heard(p->ev.user, peer, hops, list, n);
     }
@@ -550,33 +584,43 @@
     return u->bad ? -EBADMSG : 0;
 }
 
-static int serve(rr_peers *p, int fd, rr_client *client, int *peer, uint8_t type, rr_unpack *u) {
+/* Held up by a cut, or unread while this process stood still: a machine heard then may be dead now,
+ * and would seem alive for as long again. The time of day tells, within its bound. */
+static bool sent_long_ago(const rr_peers *p, rr_unpack *u) {
+    double sent = (double)rr_unpack_u64(u) / 1000;
+    return rr_wall() - sent > p->cfg->report_s + 2 * p->cfg->clock_off_s;
+}
+
+static int serve(struct conn *c, rr_client *client, uint8_t type, rr_unpack *u) {
+    rr_peers *p = c->owner;
     char name[RR_NAME];
     if (type == RR_FRAME_HELLO) {
-        *peer = rr_unpack_text(u, name, sizeof name) ? peer_index(p, name) : -1;
-        return *peer >= 0 ? 0 : -EBADMSG;
+        c->peer = rr_unpack_text(u, name, sizeof name) ? peer_index(p, name) : -1;
+        return c->peer >= 0 ? 0 : -EBADMSG;
     }
-    if (*peer < 0) {
+    if (c->peer < 0) {
         return -EBADMSG;
     }
-    pthread_mutex_lock(&p->lock);
-    p->links[*peer].heard_at = rr_now();
-    pthread_mutex_unlock(&p->lock);
     switch (type) {
+    case RR_FRAME_SENT_AT:
+        c->late = sent_long_ago(p, u);
+        return u->bad ? -EBADMSG : 0;
     case RR_FRAME_REPORT:
         if (u->left < 2) {
             return -EBADMSG;
         }
-        p->ev.report(p->ev.user, *peer, u->p[0], u->p + 1, u->left - 1);
+        if (!c->late) {
+            p->ev.report(p->ev.user, c->peer, u->p[0], u->p + 1, u->left - 1);
+        }
         return 0;
     case RR_FRAME_HEARD:
-        return serve_heard(p, *peer, u);
+        return c->late ? 0 : serve_heard(p, c->peer, u);
     case RR_FRAME_SUSPECT:
-        return serve_suspects(p, u);
+        return c->late ? 0 : serve_suspects(p, u);
     case RR_FRAME_RELAY:
-        return serve_relay(fd, client, u);
+        return serve_relay(c->fd, client, u);
     case RR_FRAME_RESIGN:
-        return serve_resign(p, fd, u);
+        return serve_resign(p, c->fd, u);
     default:
         return -EBADMSG; /* this link only */
     }
@@ -589,11 +633,10 @@
     struct inbox in;
     rr_unpack u;
     uint8_t type;
-    int peer = -1;
     inbox_init(&in, c->fd);
     set_timeouts(c->fd, 5);
     while (client && recv_frame(p, &in, &type, &u, IDLE_S) == 0 &&
-           serve(p, c->fd, client, &peer, type, &u) == 0) {
+           serve(c, client, type, &u) == 0) {
     }
     close(c->fd);
     inbox_clear(&in);
@@ -621,6 +664,7 @@
     struct conn *c = g_new0(struct conn, 1);
     c->owner = p;
     c->fd = fd;
+    c->peer = -1;
     pthread_mutex_lock(&p->lock);
     bool ok = p->conns < CONNS_MAX;
     p->conns += ok;
@@ -756,6 +800,7 @@
         p->links[i].heard[1] = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
         p->links[i].suspects = g_ptr_array_new_with_free_func(g_free);
         p->links[i].owner = p;
+        p->links[i].patience = HEARS_S;
         p->links[i].index = i;
     }
     pthread_condattr_destroy(&steady);
--- /dev/null
+++ b/tests/test_peer.c
@@ -0,0 +1,207 @@
+/* Links between controllers against a scripted peer on loopback sockets. Waits are for conditions,
+ * bounded well above what they take. */
+#include "fakes.h"
+
+#include "app/clock.h"
+#include "app/log.h"
+#include "net/client.h"
+#include "peer/frame.h"
+#include "peer/peer.h"
+#include "world.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct fixture {
+    struct rr_config cfg;
+    struct rr_peers *peers;
+    atomic_bool stop;
+    atomic_uint reports, lines;
+    int listener; /* the scripted peer's */
+    int to;       /* its connection to us */
+};
+
+static void on_report(void *user, int peer, unsigned hops, const void *body, size_t len) {
+    struct fixture *f = user;
+    (void)peer;
+    (void)hops;
+    assert_memory_equal(body, "report", len);
+    atomic_fetch_add(&f->reports, 1);
+}
+
+static void on_heard(void *user, int peer, unsigned hops, const rr_heard *list, size_t n) {
+    struct fixture *f = user;
+    (void)peer;
+    (void)hops;
+    (void)list;
+    atomic_fetch_add(&f->lines, (unsigned)n);
+}
+
+static void on_suspect(void *user, const char *stone) {
+    (void)user;
+    (void)stone;
+}
+
+static bool on_resign(void *user, uint64_t tether, bool end) {
+    (void)user;
+    (void)tether;
+    return !end;
+}
+
+static int connect_to(uint16_t port) {
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(port)};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+    assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof a), 0);
+    return fd;
+}
+
+static void send_frames(int fd, GByteArray *b) {
+    assert_int_equal(send(fd, b->data, b->len, MSG_NOSIGNAL), b->len);
+    g_byte_array_free(b, TRUE);
+}
+
+static int setup(void **state) {
+    struct fixture *f = g_new0(struct fixture, 1);
+    fx_config(&f->cfg, "n0");
+    f->listener = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    socklen_t len = sizeof a;
+    struct timeval tv = {20, 0};
+    setsockopt(f->listener, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof tv);
+    assert_int_equal(bind(f->listener, (struct sockaddr *)&a, sizeof a), 0);
+    assert_int_equal(listen(f->listener, 8), 0);
+    assert_int_equal(getsockname(f->listener, (struct sockaddr *)&a, &len), 0);
+    f->cfg.npeers = 1;
+    g_strlcpy(f->cfg.peers[0].name, "n1", RR_NAME);
+    g_strlcpy(f->cfg.peers[0].endpoint.host, "127.0.0.1", sizeof f->cfg.peers[0].endpoint.host);
+    f->cfg.peers[0].endpoint.port = ntohs(a.sin_port);
+    f->cfg.peer_listen = f->cfg.peers[0].endpoint;
+    f->cfg.peer_listen.port = world_free_port();
+    struct rr_peer_events ev = {f, on_report, on_heard, on_suspect, on_resign};
+    f->peers = rr_peers_create(&f->cfg, &ev, &f->stop);
+    assert_int_equal(rr_peers_start(f->peers), 0);
+    f->to = connect_to(f->cfg.peer_listen.port);
+    GByteArray *b = g_byte_array_new();
+    guint at = rr_frame_begin(b, RR_FRAME_HELLO);
+    rr_frame_text(b, "n1");
+    rr_frame_end(b, at);
+    send_frames(f->to, b);
+    *state = f;
+    return 0;
+}
+
+static int teardown(void **state) {
+    struct fixture *f = *state;
+    atomic_store(&f->stop, true);
+    close(f->to);
+    close(f->listener);
+    rr_peers_stop(f->peers);
+    rr_peers_destroy(f->peers);
+    g_free(f);
+    return 0;
+}
+
+/* The peer's beat: whom it hears, us or nobody; sent so many seconds ago. */
+static void beat(struct fixture *f, bool hears_us, double ago) {
+    GByteArray *b = g_byte_array_new();
+    guint at = rr_frame_begin(b, RR_FRAME_SENT_AT);
+    rr_frame_u64(b, (uint64_t)((rr_wall() - ago) * 1000));
+    rr_frame_end(b, at);
+    at = rr_frame_begin(b, RR_FRAME_HEARD);
+    rr_frame_u8(b, 0);
+    rr_frame_u16(b, hears_us ? 1 : 0);
+    if (hears_us) {
+        rr_frame_text(b, "n0");
+    }
+    rr_frame_u16(b, 1);
+    rr_frame_text(b, "vm-1");
+    for (int i = 0; i < 3; i++) {
+        rr_frame_u64(b, 1);
+    }
+    rr_frame_end(b, at);
+    at = rr_frame_begin(b, RR_FRAME_REPORT);
+    rr_frame_u8(b, 0);
+    g_byte_array_append(b, (const guint8 *)"report", 6);
+    rr_frame_end(b, at);
+    send_frames(f->to, b);
+}
+
+static void read_all(int fd, uint8_t *into, size_t n) {
+    assert_int_equal(recv(fd, into, n, MSG_WAITALL), n);
+}
+
+/* The next frame's type on a connection of ours; its payload is passed over. */
+static uint8_t next_frame(int fd) {
+    uint8_t head[RR_FRAME_HEAD], type, *rest;
+    uint32_t len;
+    read_all(fd, head, sizeof head);
+    assert_int_equal(rr_frame_head(head, &type, &len), 0);
+    rest = g_malloc(len + 1);
+    if (len) {
+        read_all(fd, rest, len);
+    }
+    g_free(rest);
+    return type;
+}
+
+static void wait_report(struct fixture *f, int fd) {
+    rr_heard h = {.stone = "vm-7", .tenure = 1, .tally = 5, .hash = 9};
+    rr_peers_report(f->peers, 1, 0, &h, "report", 6);
+    while (next_frame(fd) != RR_FRAME_REPORT) {
+    }
+}
+
+/* A connection that takes all that is sent and brings nothing across: after a cut the peer had
+ * given it up and no reset came back, so that reports of a quarter of all machines were lost for
+ * good. The peer does not say that it hears us: a new connection, and what went over the old one is
+ * sent again. While the peer says that it hears us, the connection stays. */
+static void a_dead_link_is_made_anew(void **state) {
+    struct fixture *f = *state;
+    int first = accept(f->listener, NULL, NULL);
+    assert_true(first >= 0);
+    wait_report(f, first);
+    double until = rr_now() + 20;
+    int second = -1;
+    struct timeval tick = {0, 200000}, long_enough = {20, 0};
+    setsockopt(f->listener, SOL_SOCKET, SO_RCVTIMEO, &tick, sizeof tick);
+    while (second < 0) {
+        assert_true(rr_now() < until);
+        beat(f, false, 0);
+        second = accept(f->listener, NULL, NULL);
+    }
+    setsockopt(second, SOL_SOCKET, SO_RCVTIMEO, &long_enough, sizeof long_enough);
+    wait_report(f, second);
+    for (int beats = 0; beats < 12; beats++) { /* six seconds: longer than it was patient before */
+        beat(f, true, 0);
+        while (next_frame(second) != RR_FRAME_HEARD) {
+        }
+    }
+    close(first);
+    close(second);
+}
+
+/* What a cut held up, or what waited unread while this process stood still, says nothing of now. */
+static void late_frames_are_dropped(void **state) {
+    struct fixture *f = *state;
+    beat(f, true, f->cfg.report_s + 2 * f->cfg.clock_off_s + 5);
+    beat(f, true, 0);
+    double until = rr_now() + 20;
+    while (atomic_load(&f->reports) == 0) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.01);
+    }
+    assert_int_equal(atomic_load(&f->reports), 1);
+    assert_int_equal(atomic_load(&f->lines), 1);
+}
+
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int main(void) {
+    const struct CMUnitTest tests[] = {T(a_dead_link_is_made_anew), T(late_frames_are_dropped)};
+    rr_net_init();
+    rr_log_set_level("error");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -572,7 +572,7 @@
     return n;
 }
 
-static uint16_t free_port(void) {
+uint16_t world_free_port(void) {
     struct sockaddr_in a = {.sin_family = AF_INET};
     socklen_t n = sizeof a;
     inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
@@ -589,8 +589,8 @@
     g_strlcpy(c->node_name, name, RR_NAME);
     g_strlcpy(c->zone, "a", RR_NAME);
     c->bind = c->peer_listen = c->cloud = c->state = local;
-    c->bind.port = free_port();
-    c->peer_listen.port = free_port();
+    c->bind.port = world_free_port();
+    c->peer_listen.port = world_free_port();
     c->cloud.port = c->state.port = w->port;
     c->nteams = 1;
     g_strlcpy(c->teams[0].name, "red", RR_NAME);
--- a/tests/world.h
+++ b/tests/world.h
@@ -21,6 +21,7 @@
 unsigned world_tasks(world *w); /* on the worker, not exited */
 unsigned world_rented(world *w);
 
+uint16_t world_free_port(void);
 /* Settings of a controller in this world; ports are free ones. */
 void world_config(world *w, struct rr_config *c, const char *name);
 /* One request to a controller; -1 if there was no answer. *doc may be NULL. */
