Lost places are cleared in the change that books them anew; short changes go to services first

The store takes 30 changes a second, all were used, and up to half cleared records of lost array tasks, in no order; places known to be over still counted against a service's zones, so that clearing and booking took two changes. That changes were short was not seen: a few gather between two plans. Now a lost place waits for its task's turn, is taken out by the change that books it anew, does not count against zones and machines, and a plan cut short by its changes counts as pressure; under it the service that misses most replicas goes first.

--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -55,7 +55,8 @@
     return false;
 }
 
-/* Placements of the job by zone; a task being moved counts where it is and where it goes. */
+/* Placements of the job by zone, but those known to be over; a task being moved counts where it is
+ * and where it goes. */
 uint32_t rr_job_count_by_ward(const rr_core *c, const rr_job *j, const rr_place *except,
                               uint32_t *by_ward) {
     uint32_t all = 0;
@@ -64,7 +65,9 @@
         const rr_run *r = g_ptr_array_index(j->runs, n);
         for (guint i = 0; r && i < r->items->len; i++) {
             const rr_item *it = &g_array_index(r->items, rr_item, i);
-            if (it->m->ward >= 0 && !it->m->gone && !(except && it->attempt == except->attempt)) {
+            const rr_place *p = rr_place_find(it->m, it->attempt, j, it->task);
+            if (it->m->ward >= 0 && !it->m->gone && !(p && p->over_at > 0) &&
+                !(except && it->attempt == except->attempt)) {
                 by_ward[it->m->ward]++;
                 all++;
             }
@@ -101,7 +104,8 @@
 
 bool rr_machine_has_task(const rr_machine *m, const rr_job *j) {
     for (guint k = 0; k < m->places->len; k++) {
-        if (g_array_index(m->places, rr_place, k).job == j) {
+        const rr_place *p = &g_array_index(m->places, rr_place, k);
+        if (p->job == j && p->over_at <= 0) {
             return true;
         }
     }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -51,6 +51,7 @@
     GArray *items;  /* rr_item */
     bool keep;      /* seen in the reread that is under way */
     void *edit;     /* scratch of one plan */
+    guint overs;    /* likewise: 1 + the index of the first placement known to be over, 0: none */
 } rr_run;
 
 /* A record of machines, written by the steward. */
@@ -84,6 +85,7 @@
     uint32_t over, finishing; /* scratch of one plan: tasks known to be over, to be recorded */
     double failed_at;         /* steady; no room was found for it then */
     bool listed, ending;      /* scratch of one plan */
+    uint32_t missing;         /* likewise: tasks that one change would bring back, 0: no matter */
     int zone;                 /* of completed tasks of a one-zone job, -1 */
     GArray *failed_on;        /* rr_machine ids (int) where a task failed */
     double hold_until;        /* steady; placed no sooner */
@@ -212,6 +214,7 @@
     bool loaded, rereading;
     uint64_t settle; /* revision at which the last reread is one consistent state */
     double pressure; /* 0: changes at the store are plentiful; 1: there are none to spare */
+    double short_at; /* a plan was last cut short by the changes it might make */
     int changes;     /* that a plan may make now */
     int log_level;
     uint64_t tether;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -31,6 +31,8 @@
     uint32_t task;
     uint64_t attempt;
     bool done, wait; /* completed; may wait for others of its job */
+    bool evicted;    /* made room, for another owner's task perhaps, who waits for the record */
+    guint next;      /* 1 + the index of the next one of its record, 0: none */
 };
 
 /* A job for which there was no room in this plan: nor is there for another like it. */
@@ -93,14 +95,17 @@
     return (double)rr_run_bytes(items) <= c->cfg->value_kb * 1024;
 }
 
+static bool has_room(const struct planner *p, int ops, size_t bytes) {
+    return p->ops + ops <= p->limit && p->bytes + bytes <= TXN_BYTES;
+}
+
 static bool txn_room(struct planner *p, int ops, size_t bytes) {
-    if (p->ops + ops > p->limit || p->bytes + bytes > TXN_BYTES) {
-        p->full = true;
-        return false;
-    }
-    return true;
+    p->full = p->full || !has_room(p, ops, bytes);
+    return has_room(p, ops, bytes);
 }
 
+static void take_overs(struct planner *p, struct edit *e);
+
 static struct edit *edit_of(struct planner *p, rr_job *j, uint32_t chunk) {
     rr_run *r = rr_job_run(j, chunk);
     if (r->edit) {
@@ -120,6 +125,7 @@
     p->ops++;
     p->bytes += bytes;
     g_ptr_array_add(p->edits, e);
+    take_overs(p, e);
     return e;
 }
 
@@ -157,7 +163,7 @@
     }
 }
 
-/* A task whose placement ends in this plan may be placed anew in the same change. */
+/* A task whose placement is over may be placed anew in the same change. */
 static void reopen(struct planner *p, rr_job *j, uint32_t task) {
     struct reopened r = {j, task};
     if (j->placed && task < j->s.pieces && j->placed[task] == 1 && !j->cancelled &&
@@ -178,20 +184,16 @@
     }
 }
 
-/* Takes a placement out of its record, with its completion if there is one to record. False: the
- * transaction has no room. */
-static bool record_over(struct planner *p, const struct over *o) {
+/* Takes a placement out of its record, with its completion if there is one to record. */
+static void take_over(struct planner *p, struct edit *e, const struct over *o) {
     rr_job *j = o->job;
-    struct edit *e = edit_of(p, j, o->task / j->per);
-    if (!e) {
-        return false;
-    }
     if (o->done && !j->cancelled && !rr_job_task_done(j, o->task) && !done_in(e, o->task)) {
         /* The last one ends the job: a change more. */
-        if (j->ndone + j->finishing + 1 >= j->s.pieces && !txn_room(p, 1, 200)) {
-            return false;
+        bool last = j->ndone + j->finishing + 1 >= j->s.pieces;
+        if (last && !has_room(p, 1, 200)) {
+            return;
         }
-        p->ops += j->ndone + j->finishing + 1 >= j->s.pieces;
+        p->ops += last;
         j->finishing++;
         g_array_append_val(e->done, o->task);
         e->zone = o->m->ward;
@@ -199,11 +201,16 @@
     rr_item *it = item_in(e, o->attempt, o->task);
     if (it) {
         g_array_remove_index(e->items, (guint)(it - (rr_item *)(void *)e->items->data));
-        if (!o->done) {
-            reopen(p, j, o->task);
-        }
     }
-    return true;
+}
+
+/* A record that changes anyway loses all that is known to be over in it. */
+static void take_overs(struct planner *p, struct edit *e) {
+    for (guint n = e->run->overs; n > 0;) {
+        const struct over *o = &g_array_index(p->overs, struct over, n - 1);
+        take_over(p, e, o);
+        n = o->next;
+    }
 }
 
 static const char *cause_name(enum rr_cause cause) {
@@ -217,36 +224,55 @@
     if (pl->over_at <= 0 && !done) {
         rr_log_at(p->c, RR_LOG_DEBUG, "over %s/%u on %s: %s", j->s.ref, pl->task, m->name, why);
     }
-    struct over o = {m, j, pl->task, pl->attempt, done, false};
+    rr_run *r = rr_job_run(j, pl->task / j->per);
+    struct over o = {.m = m,
+                     .job = j,
+                     .task = pl->task,
+                     .attempt = pl->attempt,
+                     .done = done,
+                     .evicted = pl->evict != RR_KEEP,
+                     .next = r->overs};
     pl->over_at = pl->over_at > 0 ? pl->over_at : p->now;
-    /* What is to run again, or makes room that others wait for, does not wait. */
-    o.wait =
-        (done || j->cancelled) && !pl->evict && p->now - pl->over_at < GATHER_S * p->c->pressure;
+    o.wait = p->now - pl->over_at < GATHER_S * p->c->pressure;
     if (done && !rr_job_task_done(j, pl->task)) {
         j->over++;
     }
     g_array_append_val(p->overs, o);
+    r->overs = p->overs->len;
 }
 
 static bool finishes(const rr_job *j) {
     return !j->cancelled && j->ndone + j->over >= j->s.pieces;
 }
 
+static bool lost(const struct over *o) {
+    return !o->done && !o->job->cancelled;
+}
+
 /* Completions are gathered while changes are short; one change then ends several. A job's last ones
- * never wait, since its user does. */
+ * never wait, since its user does. What is to run again waits for its turn among all that waits for
+ * a place, and is taken out in the change that books it anew: when a zone of four hundred machines
+ * had lost its leases, records of arrays were cleared first, a change each, and services came back
+ * after them, 35 s later. */
 static void record_overs(struct planner *p) {
-    for (int pass = 0; pass < 2; pass++) {
-        for (guint i = 0; i < p->overs->len; i++) {
-            const struct over *o = &g_array_index(p->overs, struct over, i);
-            bool now = !o->wait || finishes(o->job);
-            /* The second pass adds what fits into records that change anyway. */
-            if (pass == 0 ? now : !now && rr_job_run(o->job, o->task / o->job->per)->edit != NULL) {
-                record_over(p, o);
-            }
+    for (guint i = 0; i < p->overs->len; i++) {
+        const struct over *o = &g_array_index(p->overs, struct over, i);
+        if (lost(o)) {
+            reopen(p, o->job, o->task);
+        }
+        if (o->evicted || (!lost(o) && (!o->wait || finishes(o->job)))) {
+            edit_of(p, o->job, o->task / o->job->per);
         }
     }
-    for (guint i = 0; i < p->overs->len; i++) {
-        g_array_index(p->overs, struct over, i).job->over = 0;
+}
+
+/* Lost places for whose tasks there was no room: their records are cleared as changes allow. */
+static void record_lost(struct planner *p) {
+    for (guint i = 0; i < p->overs->len && !p->full; i++) {
+        const struct over *o = &g_array_index(p->overs, struct over, i);
+        if (lost(o) && !o->wait) {
+            edit_of(p, o->job, o->task / o->job->per);
+        }
     }
 }
 
@@ -878,6 +904,9 @@
     if (x->s.rank != y->s.rank) {
         return x->s.rank > y->s.rank ? -1 : 1;
     }
+    if (x->missing != y->missing) {
+        return x->missing > y->missing ? -1 : 1;
+    }
     double dx = latest_start(x), dy = latest_start(y);
     if (x->s.rank < RR_PROD && dx != dy) {
         return dx < dy ? -1 : 1;
@@ -931,6 +960,12 @@
     if (first) {
         place_job(p, first, &head);
     }
+    for (guint i = 0; i < wait->len; i++) {
+        rr_job *j = g_ptr_array_index(wait, i);
+        /* While changes are short the one that brings back most replicas goes first. */
+        bool counts = p->c->pressure > 0.9 && j->s.rank == RR_PROD && j->s.shape == RR_SERVICE;
+        j->missing = counts ? j->s.pieces - j->ndone - j->nplaced : 0;
+    }
     g_ptr_array_sort(wait, by_turn);
     for (guint i = 0; i < wait->len && !p->full && left > 0; i++) {
         rr_job *j = g_ptr_array_index(wait, i);
@@ -1141,9 +1176,8 @@
     }
     rr_log_at(p->c, RR_LOG_DEBUG,
               "plan: %u changes: %u records book, %u end tasks, %u others; %u known over; "
-              "pressure %.2f%s",
-              p->out->txn.changes->len, booked, done, freed, p->overs->len, p->c->pressure,
-              p->full ? ", full" : "");
+              "pressure %.2f",
+              p->out->txn.changes->len, booked, done, freed, p->overs->len, p->c->pressure);
 }
 
 /* A batch says nothing any more once all its jobs have records of their own. */
@@ -1224,17 +1258,38 @@
     g_ptr_array_free(p->guards, TRUE);
     g_ptr_array_free(p->edits, TRUE);
     close_again(p);
+    for (guint i = 0; i < p->overs->len; i++) {
+        const struct over *o = &g_array_index(p->overs, struct over, i);
+        o->job->over = 0;
+        rr_job_run(o->job, o->task / o->job->per)->overs = 0;
+    }
     g_array_free(p->reopened, TRUE);
     g_array_free(p->overs, TRUE);
     g_array_free(p->failures, TRUE);
     g_array_free(p->cands, TRUE);
 }
 
+/* Whether changes were what bounded the plan, not the transaction. Between two plans some gather,
+ * so that their number alone never looked short while hundreds of bookings waited for them. */
+static void note_short(struct planner *p) {
+    if (p->full && p->c->changes < p->c->cfg->txn_ops) {
+        p->c->short_at = p->now;
+    }
+    p->full = false;
+}
+
+#define SHORT_S 1.0
+
+static double pressure_now(const rr_core *c, double now) {
+    return c->short_at > 0 && now - c->short_at < SHORT_S ? 1 : c->pressure;
+}
+
 void rr_core_plan(rr_core *c, double now, double wall, rr_plan *out) {
     if (!rr_core_entitled(c, now) || !rr_core_settled(c)) {
         return;
     }
     struct planner p = {.c = c, .now = now, .wall = wall, .out = out};
+    c->pressure = pressure_now(c, now);
     p.edits = g_ptr_array_new_with_free_func(edit_free);
     p.overs = g_array_new(FALSE, FALSE, sizeof(struct over));
     p.reopened = g_array_new(FALSE, FALSE, sizeof(struct reopened));
@@ -1254,7 +1309,7 @@
     g_ptr_array_free(wait, TRUE);
     wait = waiting_jobs(&p); /* with those whose tasks have just lost their places */
     p.limit = ops;
-    p.full = false;
+    note_short(&p);
     bool round = rr_round_due(c, now);
     if (ops > 0 && (wait->len || round || c->plan_moves->len)) {
         rr_sim_reset(c);
@@ -1264,6 +1319,8 @@
         place_waiting(&p, wait);
         make_moves(&p);
     }
+    record_lost(&p);
+    note_short(&p);
     build_txn(&p);
     guint first = out->dos->len;
     probe_silent(&p);
--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -305,16 +305,89 @@
     }
 }
 
+/* Placements of the job on vm-1 to vm-`half` whose attempts are not after `mark`; the highest. */
+static unsigned lost_of(fx_node *n, const char *ref, uint32_t pieces, int half, uint64_t mark,
+                        uint64_t *most) {
+    unsigned lost = 0;
+    for (int m = 1; m <= half; m++) {
+        char id[32];
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        for (uint32_t t = 0; t < pieces; t++) {
+            uint64_t at = fx_booked(n->store, id, ref, t);
+            lost += at > 0 && at <= mark;
+            *most = MAX(*most, at);
+        }
+    }
+    return lost;
+}
+
+/* Half of the fleet has lost its leases, and changes are short. Every service is back with one
+ * change, in its zone, before any array's record is touched; records of arrays were once cleared
+ * first and services came back 35 s later. Those that miss most replicas come first. */
+static void services_come_back_first(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    const int half = 40, services = 12;
+    char ref[32];
+    fx_fleet(n, 1, half, "a");
+    fx_fleet(n, half + 1, half, "b");
+    submit_many(n, 1, 10, &(struct fx_job){.pieces = 10, .cpu = 1, .rank = "low", .cairn_s = 30});
+    submit_many(
+        n, 101, services,
+        &(struct fx_job){.pieces = 2, .cpu = 1, .service = true, .apart = true, .rank = "prod"});
+    submit_many(
+        n, 201, 1,
+        &(struct fx_job){.pieces = 8, .cpu = 1, .service = true, .apart = true, .rank = "prod"});
+    settle(n);
+    uint64_t mark = 0, most = 0;
+    for (int i = 101; i < 101 + services; i++) {
+        g_snprintf(ref, sizeof ref, "req-%06d", i);
+        lost_of(n, ref, 2, half, 0, &mark);
+    }
+    lost_of(n, "req-000201", 8, half, 0, &mark);
+    assert_int_equal(lost_of(n, "req-000201", 8, half, mark, &most), 4);
+    n->now += 5;
+    for (int m = 1; m <= half; m++) {
+        g_snprintf(ref, sizeof ref, "vm-%d", m);
+        fx_report(n, ref, "a", false, 2, 2, rr_core_token(n->core), NULL);
+    }
+    for (int m = half + 1; m <= 2 * half; m++) {
+        g_snprintf(ref, sizeof ref, "vm-%d", m);
+        fx_report(n, ref, "b", false, 1, 2, rr_core_token(n->core), NULL);
+    }
+    unsigned changes = 0;
+    for (int i = 0; i < 5; i++) {
+        rr_plan p;
+        n->now += 0.3;
+        rr_core_set_pressure(n->core, 0, 3);
+        fx_plan(n, &p);
+        changes += changes_of(&p);
+        rr_plan_clear(&p);
+        if (i == 1) { /* the first plan finds out that changes are short */
+            assert_int_equal(lost_of(n, "req-000201", 8, half, mark, &most), 0);
+        }
+    }
+    assert_true(changes <= 15);
+    for (int i = 101; i < 101 + services; i++) {
+        g_snprintf(ref, sizeof ref, "req-%06d", i);
+        assert_int_equal(lost_of(n, ref, 2, half, mark, &most), 0);
+        assert_int_equal(fx_placed(n->store, ref), 2);
+    }
+    assert_int_equal(fx_placed(n->store, "req-000201"), 8);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
-    const struct CMUnitTest tests[] = {T(a_plan_costs_what_changed),
+    const struct CMUnitTest tests[] = {T(services_come_back_first),
+                                       T(a_plan_costs_what_changed),
                                        T(an_array_costs_a_few_changes),
                                        T(completions_gather_when_changes_are_short),
                                        T(waiting_jobs_share_a_search),
                                        T(a_spread_job_in_one_plan),
                                        T(the_fleet_comes_in_bulk),
                                        T(a_huge_job_among_small_ones),
-                                       T(a_flooding_team)};
+                                       T(a_flooding_team),
+                                       T(services_come_back_first)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
