--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -172,7 +172,9 @@
             m->list_failed = true; /* gone with everything on it: the record may go */
             rr_log_at(c, RR_LOG_DEBUG, "machine %s is returned after %.0f s", id,
                       now - m->known_at);
-        } else if (m) {
+        } else if (m && m->places->len == 0) {
+            /* With places it stays as a name until the ledger has none: a steward ended when a
+             * machine was listed as failed, lost its record and was then released as a stray. */
             rr_machine_forget(c, m);
         }
     }
--- a/tests/test_core_steward.c
+++ b/tests/test_core_steward.c
@@ -335,6 +335,47 @@
     g_array_free(one, TRUE);
 }
 
+/* Listed as failed, off the records and released as a stray, all before the owner of its task has
+ * looked: the process ended on what was left of the machine. The task is placed anew. */
+static void released_before_its_task_is(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    rr_step s;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    fx_machine(w->store, "vm-1", "a", false, false);
+    fx_sync(w->store, n->core, n->now);
+    fx_report(n, "vm-1", "a", false, 1, 1, 1, NULL);
+    fx_submit(w->store, &(struct fx_job){.ref = "req-000001"}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(fx_booked(w->store, "vm-1", "req-000001", 0) != 0);
+    add_stone(stones, "vm-1", RR_STONE_FAILED, 100);
+    bool asked = false;
+    for (int i = 0; i < 10 && !asked; i++) {
+        n->now += 5;
+        asked = step_until(w, RR_STEP_RELEASE, stones, &s);
+        if (asked) {
+            assert_false(fx_recorded(w->store, "vm-1"));
+            rr_core_released(n->core, n->now, s.stones);
+        }
+        rr_step_clear(&s);
+    }
+    assert_true(asked);
+    fx_machine(w->store, "vm-2", "a", false, false);
+    fx_sync(w->store, n->core, n->now);
+    fx_report(n, "vm-2", "a", false, 1, 1, 1, NULL);
+    for (int i = 0; i < 3; i++) {
+        n->now += 1;
+        fx_plan(n, &p);
+        rr_plan_clear(&p);
+    }
+    assert_true(fx_booked(w->store, "vm-2", "req-000001", 0) != 0);
+    assert_true(fx_booked(w->store, "vm-1", "req-000001", 0) == 0);
+    g_array_free(stones, TRUE);
+}
+
 /* The catalogue is written until the mirror shows it, whatever becomes of one transaction. */
 static void catalogue_survives_a_lost_transaction(void **state) {
     fx_world *w = *state;
@@ -406,6 +447,7 @@
                                        T(probes_are_few),
                                        T(missing_from_a_late_list),
                                        T(catalogue_survives_a_lost_transaction),
-                                       T(sick_machine_or_bad_job)};
+                                       T(sick_machine_or_bad_job),
+                                       T(released_before_its_task_is)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
