Connections bounded by threads, sockets and memory; workers make room near the bound

Now the bound is what the settings leave after the rest of the process; from three quarters of it on, a worker's answer closes its connection, so that users and health checks get in. Connections show in the minute's log line. Tests: test_door (plain and under the thread sanitizer). Setting max_threads (2000) is new.

--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -183,12 +183,13 @@
     pthread_mutex_lock(&a->lock);
     rr_core_get_stats(a->core, &st);
     pthread_mutex_unlock(&a->lock);
-    rr_log(
-        RR_INFO_LEVEL,
-        "last minute: %s; %u machines (%u not heard), %u jobs open, %u tasks placed, %u waiting, "
-        "so far %u moves, %u machines rented, %u given up or returned, %u leases lost, %u notices",
-        line, st.machines, st.booting, st.jobs_open, st.tasks_placed, st.tasks_waiting, st.moves,
-        st.hired, st.given_up, st.leases_lost, st.notices);
+    rr_log(RR_INFO_LEVEL,
+           "last minute: %s; %d connections, %u machines (%u not heard), %u jobs open, %u tasks "
+           "placed, "
+           "%u waiting, so far %u moves, %u machines rented, %u given up or returned, %u leases "
+           "lost, %u notices",
+           line, rr_door_open(a->door), st.machines, st.booting, st.jobs_open, st.tasks_placed,
+           st.tasks_waiting, st.moves, st.hired, st.given_up, st.leases_lost, st.notices);
 }
 
 void *rr_duty_term(void *app) {
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -258,6 +258,7 @@
 }
 
 static void hello(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
+    rs->yields = true;
     rr_doc doc;
     rr_report r = {0};
     struct rr_answer ans = {0};
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -193,7 +193,8 @@
     KNOB(boot_patience, 2, 1, 100, false),
     KNOB(cloud_list_s, 4, 0.5, 3600, false),
     KNOB(senders, 24, 2, 64, true),
-    KNOB(max_connections, 2000, 8, 100000, true),
+    KNOB(max_connections, 100000, 8, 100000, true),
+    KNOB(max_threads, 2000, 128, 100000, true),
     KNOB(plan_pause_ms, 30, 0, 10000, false),
 };
 
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -52,6 +52,7 @@
     double cloud_list_s;   /* pause between machine lists */
     int senders;           /* threads that carry commands to workers */
     int max_connections;   /* HTTP connections at most */
+    int max_threads;       /* of the process; a connection takes one */
     double plan_pause_ms;  /* least pause between two plans */
 };
 
--- a/src/http/door.h
+++ b/src/http/door.h
@@ -17,12 +17,17 @@
     rr_out body;       /* initialised by the door; empty: no body */
     int retry_after_s; /* 0: none */
     const char *allow; /* with 405 */
+    bool yields;       /* the connection makes room for others when there are many */
 };
 
 typedef void (*rr_handler_fn)(void *user, const struct rr_request *rq, struct rr_response *rs);
 
 typedef struct rr_door rr_door;
-rr_door *rr_door_start(const struct rr_config *cfg, rr_handler_fn fn, void *user);
+/* How many connections there may be, given what the rest of the process needs of its limits. */
+int rr_door_limit(const struct rr_config *cfg, int other_threads, int other_sockets);
+/* most: connections; one more is closed at once. */
+rr_door *rr_door_start(const struct rr_config *cfg, int most, rr_handler_fn fn, void *user);
+int rr_door_open(const rr_door *d); /* connections now */
 void rr_door_stop(rr_door *d);
 
 #endif
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -16,7 +16,6 @@
 
 #define QUEUE_MAX 256
 #define STACK (256 * 1024)
-#define CONNS_MAX 64
 #define IDLE_S 20
 
 #define GATHER_S 0.03 /* what else comes in this time goes with the same send */
@@ -666,7 +665,7 @@
     c->fd = fd;
     c->peer = -1;
     pthread_mutex_lock(&p->lock);
-    bool ok = p->conns < CONNS_MAX;
+    bool ok = p->conns < RR_PEER_CONNS;
     p->conns += ok;
     pthread_mutex_unlock(&p->lock);
     if (ok && spawn(NULL, conn_main, c, true) == 0) {
--- /dev/null
+++ b/tests/test_door.c
@@ -0,0 +1,144 @@
+/* The door's limits, with a handler and clients of the test's own on loopback sockets. */
+#include "fakes.h"
+
+#include "http/door.h"
+#include "world.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MOST 8
+
+static void answer(void *user, const struct rr_request *rq, struct rr_response *rs) {
+    (void)user;
+    rs->status = 200;
+    rs->yields = strcmp(rq->path, "/hello") == 0;
+    rr_put_map(&rs->body, 0);
+}
+
+struct fixture {
+    struct rr_config cfg;
+    rr_door *door;
+};
+
+static int setup(void **state) {
+    struct fixture *f = g_new0(struct fixture, 1);
+    fx_config(&f->cfg, "n0");
+    g_strlcpy(f->cfg.bind.host, "127.0.0.1", sizeof f->cfg.bind.host);
+    f->cfg.bind.port = world_free_port();
+    f->door = rr_door_start(&f->cfg, MOST, answer, f);
+    assert_non_null(f->door);
+    *state = f;
+    return 0;
+}
+
+static int teardown(void **state) {
+    struct fixture *f = *state;
+    rr_door_stop(f->door);
+    g_free(f);
+    return 0;
+}
+
+static int dial(const struct fixture *f) {
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(f->cfg.bind.port)};
+    struct timeval tv = {20, 0};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, f->cfg.bind.host, &a.sin_addr);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof tv);
+    assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof a), 0);
+    return fd;
+}
+
+/* Sends a request and reads its answer, which has a body of one byte. False: closed instead. */
+static bool ask(int fd, const char *path, char *into, size_t size) {
+    char text[128];
+    size_t n = 0;
+    int len = g_snprintf(text, sizeof text, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
+    if (send(fd, text, (size_t)len, MSG_NOSIGNAL) != len) {
+        return false;
+    }
+    memset(into, 0, size);
+    while (n + 1 < size && !(n > 4 && memcmp(into + n - 5, "\r\n\r\n", 4) == 0)) {
+        ssize_t got = recv(fd, into + n, 1, 0);
+        if (got <= 0) {
+            return false;
+        }
+        n++;
+    }
+    return strncmp(into, "HTTP/1.1 200", 12) == 0;
+}
+
+static bool closes(const char *answer_text) {
+    char *low = g_ascii_strdown(answer_text, -1);
+    bool yes = strstr(low, "connection: close") != NULL;
+    g_free(low);
+    return yes;
+}
+
+/* More workers than there are threads: near the limit each is answered and makes room, so that a
+ * user still gets in and keeps the connection; beyond it a connection is closed at once. */
+static void a_crowded_door(void **state) {
+    struct fixture *f = *state;
+    char text[1024], byte;
+    int fds[MOST];
+    for (int i = 0; i < 6; i++) {
+        fds[i] = dial(f);
+        assert_true(ask(fds[i], "/hello", text, sizeof text));
+        assert_false(closes(text)); /* there is room: workers stay */
+    }
+    for (int i = 0; i < 20; i++) {
+        int worker = dial(f);
+        assert_true(ask(worker, "/hello", text, sizeof text));
+        assert_true(closes(text));
+        assert_int_equal(recv(worker, &byte, 1, 0), 0);
+        close(worker);
+        while (rr_door_open(f->door) > 6) {
+            g_usleep(1000);
+        }
+    }
+    for (int i = 6; i < MOST; i++) {
+        fds[i] = dial(f);
+        assert_true(ask(fds[i], "/ready", text, sizeof text));
+        assert_false(closes(text));
+    }
+    assert_int_equal(rr_door_open(f->door), MOST);
+    int more = dial(f);
+    assert_false(ask(more, "/ready", text, sizeof text));
+    close(more);
+    assert_true(ask(fds[MOST - 1], "/ready", text, sizeof text)); /* the others go on */
+    for (int i = 0; i < MOST; i++) {
+        close(fds[i]);
+    }
+}
+
+/* The scarcest of threads, sockets, memory and the operators' own bound decides, and what the rest
+ * of the process needs comes off. */
+static void the_limit_is_derived(void **state) {
+    (void)state;
+    struct rr_config c;
+    fx_config(&c, "n0");
+    c.ram_mb = 188;
+    c.max_sockets = 4064;
+    c.tune.max_threads = 2000;
+    c.tune.max_connections = 100000;
+    int most = rr_door_limit(&c, 140, 280);
+    assert_int_equal(most, 2000 - 140);
+    c.max_sockets = 1000;
+    assert_int_equal(rr_door_limit(&c, 140, 280), 1000 - 280);
+    c.max_sockets = 100000;
+    c.ram_mb = 94;
+    assert_in_range(rr_door_limit(&c, 140, 280), 500, 1200);
+    c.tune.max_connections = 50;
+    assert_int_equal(rr_door_limit(&c, 140, 280), 50);
+    c.max_sockets = 100;
+    assert_true(rr_door_limit(&c, 140, 280) >= 8);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(a_crowded_door, setup, teardown),
+        cmocka_unit_test(the_limit_is_derived)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
