--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -413,8 +413,9 @@
  * change at most) and bytes are bounded. New jobs share records. */
 struct batch {
     struct rr_user_commit *entries[BATCH_MAX];
-    guint n, records;   /* entries; changes that they make */
-    size_t bytes, open; /* of all; of the record being filled, 0: none */
+    bool joins[BATCH_MAX]; /* goes into the record of the new job before it */
+    guint n, records;      /* entries; changes that they make */
+    size_t bytes, open;    /* of all; of the record being filled, 0: none */
 };
 
 /* The store counts JSON, which is longer than what is packed. */
@@ -434,6 +435,7 @@
     b->open = joins ? b->open + size : u->accepts ? size : b->open;
     b->records = records;
     b->bytes += size + 100;
+    b->joins[b->n] = joins;
     b->entries[b->n++] = u;
     return true;
 }
@@ -479,7 +481,6 @@
  * fails the transaction, and the others go again without it. */
 static void batch_txn(struct rr_app *a, const struct batch *b, rr_txn *t) {
     struct rr_user_commit *group[BATCH_MAX];
-    size_t most = (size_t)(a->cfg.value_kb * 1024) - 64, size = 0;
     guint n = 0;
     for (guint i = 0; i < b->n; i++) {
         struct rr_user_commit *u = b->entries[i];
@@ -488,13 +489,11 @@
             put_alone(t, u);
             continue;
         }
-        if (n > 0 && size + json_size(u) > most) {
+        if (n > 0 && !b->joins[i]) {
             put_together(a, t, group, n);
             n = 0;
-            size = 0;
         }
         group[n++] = u;
-        size += json_size(u);
     }
     if (n > 0) {
         put_together(a, t, group, n);
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -857,14 +857,14 @@
     }
 }
 
-static bool page_entry(rr_core *c, const msgpack_object *o, uint32_t page, double now) {
+static void page_entry(rr_core *c, const msgpack_object *o, uint32_t page, double now) {
     char name[RR_ID], addr[RR_ID], build[RR_ID], ward[RR_TEXT];
     uint64_t flags;
     const msgpack_object *f = o->type == MSGPACK_OBJECT_ARRAY ? o->via.array.ptr : NULL;
     if (!f || o->via.array.size < 6 || !rr_as_text(&f[0], name, sizeof name) || !name[0] ||
         !rr_as_text(&f[1], addr, sizeof addr) || !rr_as_text(&f[2], build, sizeof build) ||
         !rr_as_text(&f[3], ward, sizeof ward) || !rr_as_u64(&f[4], &flags)) {
-        return false;
+        return;
     }
     rr_machine *m = rr_machine_get(c, name, now);
     if (!m->recorded) {
@@ -887,7 +887,6 @@
     if (!m->heard && addr[0]) {
         g_strlcpy(m->addr, addr, sizeof m->addr);
     }
-    return true;
 }
 
 /* Machines of the page that its record no longer has. */
@@ -920,10 +919,9 @@
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
         m->keep = m->keep && m->page != id;
     }
-    p->n = 0;
     p->bytes = 0;
     for (uint32_t i = 0; i < list->via.array.size; i++) {
-        p->n += page_entry(c, &list->via.array.ptr[i], id, now);
+        page_entry(c, &list->via.array.ptr[i], id, now);
     }
     for (guint i = 0; i < c->machine_list->len; i++) {
         const rr_machine *m = g_ptr_array_index(c->machine_list, i);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -58,7 +58,6 @@
 typedef struct {
     uint32_t id;
     uint64_t mark;
-    guint n;      /* machines on it */
     size_t bytes; /* their size, roughly */
     bool keep;
 } rr_page;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -747,9 +747,9 @@
     if (m && rr_fetch_time(c, j, m) + 1 <= within) {
         return book(p, m, j, task);
     }
-    /* While changes are short a free machine is better: a victim costs three changes more, and those
-     * that wait behind it their starts. In a burst of four times as many services a fifth of all
-     * changes went to victims while one machine in four stood free. */
+    /* While changes are short a free machine is better: a victim costs three changes more, and
+     * those that wait behind it their starts. In a burst of four times as many services a fifth of
+     * all changes went to victims while one machine in four stood free. */
     bool worth = c->pressure < 0.9 && (p->wall - j->at + 1 < within || c->pressure < 0.5);
     if ((worth || !m) && may_preempt(c, j) && preempt_for(p, j, task, how, true)) {
         return true;
@@ -1012,10 +1012,17 @@
 }
 
 #define STRANGER_S 120.0
+#define GONE_KEEP_S 600.0 /* a copy of a report later than this makes a stranger for a while */
+
+static gboolean gone_old(gpointer k, gpointer v, gpointer now) {
+    (void)k;
+    return *(double *)now - *(double *)v > GONE_KEEP_S;
+}
 
 /* Machines known only from reports that came late, after their records were gone, and names of
  * machines that went with work of which nothing is left in the ledger. */
 static void forget_strangers(rr_core *c, double now) {
+    g_hash_table_foreach_remove(c->gone, gone_old, &now);
     for (guint i = c->machine_list->len; i > 0; i--) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i - 1);
         if (!m->recorded && !m->to_adopt && !m->do_inflight && m->places->len == 0 &&
--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -293,7 +293,7 @@
             rr_log_at(c, RR_LOG_INFO, "round: %u movable replicas, %u machines to empty, %u moves",
                       items->len, n, c->plan_moves->len);
         }
+        rr_sim_reset(c);
     }
     g_array_free(items, TRUE);
-    rr_sim_reset(c);
 }
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -10,7 +10,6 @@
 #define HIRE_RETRY_S 5.0
 #define REFUSED_S 15.0
 #define ARRIVAL_WINDOW_S 120.0
-#define GONE_KEEP_S 600.0
 #define HIRE_MAX 50       /* the cloud's limit a call */
 #define HIRES_MAX 24      /* intents at a time */
 #define TXN_KB 48         /* of the store's 64 for a transaction */
@@ -648,8 +647,9 @@
     return slack < 40;
 }
 
-/* Placements on machines that are gone or given up as dead. Their owners clear the ledger as changes
- * allow: waiting for that, the steward rented for 1,200 lost tasks over a minute and a half. */
+/* Placements on machines that are gone or given up as dead. Their owners clear the ledger as
+ * changes allow: waiting for that, the steward rented for 1,200 lost tasks over a minute and a
+ * half. */
 static void count_lost(const rr_core *c) {
     for (guint i = 0; i < c->open->len; i++) {
         ((rr_job *)g_ptr_array_index(c->open, i))->lost = 0;
@@ -827,11 +827,6 @@
     return out->txn.changes->len > 0;
 }
 
-static gboolean gone_old(gpointer k, gpointer v, gpointer user) {
-    (void)k;
-    return *(double *)user - *(double *)v > GONE_KEEP_S;
-}
-
 static void begin_stewardship(rr_core *c, double now) {
     c->steward_token = c->term.token;
     c->steward_since = now;
@@ -865,7 +860,6 @@
     if (c->steward_token != c->term.token) {
         begin_stewardship(c, now);
     }
-    g_hash_table_foreach_remove(c->gone, gone_old, &now);
     if (step_records(c, now, wall, out) || step_hires_done(c, now, out) ||
         step_catalog(c, now, out) || step_rent(c, now, wall, out)) {
         if (out->kind == RR_STEP_NONE) {
