Final jobs shrink to a line; the mirror is read page by page

Now a final job of which nothing is left is a line of some 75 bytes after two looks a minute apart, and pages are put in as they come, while nothing is decided: a record read may speak of a machine that an earlier page lacked, and that would pass for proof that its task is over.

--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -254,64 +254,62 @@
     return rr_get_text(o, name, key, size) && rr_get_u64(o, "mark", mark);
 }
 
-/* Pages are read without the lock and applied at once: nobody sees half a state. The changes since
- * the first page come with the watch; older marks never undo newer ones. */
+/* Puts a page's rows into the mirror. False: not a page. */
+static bool put_rows(struct rr_app *a, const rr_doc *d, char *from, size_t size) {
+    const msgpack_object *rows = rr_get(d->root, "rows");
+    if (!rows || rows->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    pthread_mutex_lock(&a->lock);
+    double now = rr_now();
+    for (uint32_t i = 0; i < rows->via.array.size; i++) {
+        const msgpack_object *o = &rows->via.array.ptr[i];
+        uint64_t mark;
+        if (row_of(o, "path", from, size, &mark) && rr_get(o, "v")) {
+            rr_core_mirror_put(a->core, from, rr_get(o, "v"), mark, now);
+        }
+    }
+    pthread_mutex_unlock(&a->lock);
+    return true;
+}
+
+/* Page by page, so that a mirror of any size is never held twice. Nobody is shown half a state:
+ * until the end nothing is decided, and answers wait for the revision. The changes since the first
+ * page come with the watch; older marks never undo newer ones. */
 static int reread(struct rr_app *a, rr_store *s) {
-    GPtrArray *docs = g_ptr_array_new();
     double began = rr_now();
     char from[256] = "";
     uint64_t first = 0, last = 0;
     bool more = true;
     int rc = 0;
+    pthread_mutex_lock(&a->lock);
+    rr_core_mirror_begin(a->core);
+    pthread_mutex_unlock(&a->lock);
     while (more && rc == 0 && !stopping(a)) {
-        rr_doc *d = g_new0(rr_doc, 1);
-        rc = rr_store_list(s, RR_ROOT, from[0] ? from : NULL, d);
+        rr_doc d;
+        uint64_t epoch = 0;
+        rc = rr_store_list(s, RR_ROOT, from[0] ? from : NULL, &d);
         if (rc != 0) {
-            g_free(d);
             break;
         }
-        g_ptr_array_add(docs, d);
-        const msgpack_object *rows = rr_get(d->root, "rows");
-        uint64_t epoch = 0;
         more = false;
-        if (!rr_get_u64(d->root, "epoch", &epoch) || !rows || rows->type != MSGPACK_OBJECT_ARRAY) {
+        rr_get_bool(d.root, "more", &more);
+        if (!rr_get_u64(d.root, "epoch", &epoch) || !put_rows(a, &d, from, sizeof from)) {
             rc = -EAGAIN;
-            break;
         }
+        rr_doc_clear(&d);
         first = first ? first : epoch;
         last = epoch > last ? epoch : last;
-        rr_get_bool(d->root, "more", &more);
-        if (rows->via.array.size) {
-            rr_get_text(&rows->via.array.ptr[rows->via.array.size - 1], "path", from, sizeof from);
-        }
     }
     pthread_mutex_lock(&a->lock);
     if (rc == 0 && !stopping(a)) {
-        double now = rr_now();
-        rr_core_mirror_begin(a->core);
-        for (guint i = 0; i < docs->len; i++) {
-            const msgpack_object *rows = rr_get(((rr_doc *)docs->pdata[i])->root, "rows");
-            for (uint32_t k = 0; k < rows->via.array.size; k++) {
-                const msgpack_object *o = &rows->via.array.ptr[k];
-                char key[256];
-                uint64_t mark;
-                if (row_of(o, "path", key, sizeof key, &mark) && rr_get(o, "v")) {
-                    rr_core_mirror_put(a->core, key, rr_get(o, "v"), mark, now);
-                }
-            }
-        }
-        rr_core_mirror_end(a->core, first, last, now);
+        rr_core_mirror_end(a->core, first, last, rr_now());
         rr_core_set_epoch(a->core, first);
         rr_core_set_fresh(a->core, began);
         pthread_cond_broadcast(&a->mirrored);
         rr_app_kick(a);
     }
     pthread_mutex_unlock(&a->lock);
-    for (guint i = 0; i < docs->len; i++) {
-        rr_doc_clear(docs->pdata[i]);
-        g_free(docs->pdata[i]);
-    }
-    g_ptr_array_free(docs, TRUE);
     return rc;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -25,7 +25,8 @@
 void rr_core_set_pressure(rr_core *c, double pressure, int changes);
 
 /* ---- the mirror of the state service ---- */
-void rr_core_mirror_begin(rr_core *c); /* a full reread starts: keys not seen again will go */
+/* A full reread starts: keys not seen again will go. Until it ends nothing is decided. */
+void rr_core_mirror_begin(rr_core *c);
 void rr_core_mirror_put(rr_core *c, const char *key, const msgpack_object *v, uint64_t mark,
                         double now);
 void rr_core_mirror_delete(rr_core *c, const char *key, uint64_t mark, double now);
@@ -166,6 +167,7 @@
     unsigned machines, booting, jobs_open, tasks_waiting, tasks_placed, moves;
     unsigned hired, given_up, leases_lost, notices; /* so far */
     unsigned visits;                                /* machines looked at so far */
+    unsigned jobs_whole;                            /* jobs kept as more than a line */
     double priced;
 } rr_core_stats;
 void rr_core_get_stats(const rr_core *c, rr_core_stats *out);
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -96,6 +96,7 @@
     c->build_info = builds_new();
     c->fresh_builds = builds_new();
     c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    c->finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     c->open = g_ptr_array_new();
     c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
     c->machine_list = g_ptr_array_new();
@@ -152,6 +153,7 @@
     g_hash_table_destroy(c->machines);
     g_ptr_array_free(c->open, TRUE);
     g_hash_table_destroy(c->jobs);
+    g_hash_table_destroy(c->finals);
     g_array_free(c->build_info, TRUE);
     g_array_free(c->fresh_builds, TRUE);
     rr_names_clear(&c->teams);
@@ -386,6 +388,9 @@
 
 static void put_job(rr_core *c, const char *ref, const msgpack_object *v, uint64_t mark,
                     double now) {
+    if (rr_job_final(c, ref, NULL, NULL)) {
+        return; /* it can't change any more */
+    }
     rr_job *j = job_get(c, ref, now);
     bool is_new = j->mark == 0;
     if (mark < j->own_mark) {
@@ -414,7 +419,8 @@
          i++) {
         const msgpack_object *o = &list->via.array.ptr[i];
         char ref[RR_ID];
-        if (!rr_get_text(o, "ref", ref, sizeof ref) || !rr_ref_valid(ref)) {
+        if (!rr_get_text(o, "ref", ref, sizeof ref) || !rr_ref_valid(ref) ||
+            rr_job_final(c, ref, NULL, NULL)) {
             continue;
         }
         rr_job *j = job_get(c, ref, now);
@@ -718,7 +724,8 @@
                     double now) {
     char ref[RR_ID], hex[RR_CHUNK_MAX / 4 + 1], zone[RR_TEXT];
     uint32_t chunk;
-    if (!rr_piece_parse(rest, ref, sizeof ref, &chunk) || chunk > RR_PIECES_MAX / c->chunk) {
+    if (!rr_piece_parse(rest, ref, sizeof ref, &chunk) || chunk > RR_PIECES_MAX / c->chunk ||
+        rr_job_final(c, ref, NULL, NULL)) {
         return;
     }
     rr_job *j = job_get(c, ref, now);
@@ -770,6 +777,81 @@
     }
 }
 
+bool rr_job_final(const rr_core *c, const char *ref, bool *done, uint32_t *ndone) {
+    gpointer v;
+    if (!g_hash_table_lookup_extended(c->finals, ref, NULL, &v)) {
+        return false;
+    }
+    if (done) {
+        *done = GPOINTER_TO_SIZE(v) & 1;
+    }
+    if (ndone) {
+        *ndone = (uint32_t)(GPOINTER_TO_SIZE(v) >> 1);
+    }
+    return true;
+}
+
+static void pin(GHashTable *pinned, const GArray *jobs) {
+    for (guint i = 0; jobs && i < jobs->len; i++) {
+        g_hash_table_add(pinned, g_array_index(jobs, rr_job *, i));
+    }
+}
+
+/* Jobs that something else of the mirror points to. */
+static GHashTable *pinned_jobs(const rr_core *c) {
+    GHashTable *pinned = g_hash_table_new(NULL, NULL);
+    GHashTableIter it;
+    gpointer v;
+    pin(pinned, c->arrivals);
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        pin(pinned, ((rr_machine *)g_ptr_array_index(c->machine_list, i))->err_jobs);
+    }
+    for (guint i = 0; i < c->plan_moves->len; i++) {
+        g_hash_table_add(pinned, g_array_index(c->plan_moves, rr_move, i).job);
+    }
+    g_hash_table_iter_init(&it, c->batches);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const GPtrArray *jobs = ((rr_batch *)v)->jobs;
+        for (guint i = 0; i < jobs->len; i++) {
+            g_hash_table_add(pinned, g_ptr_array_index(jobs, i));
+        }
+    }
+    return pinned;
+}
+
+/* Known from its own record, over, and the watch past all that may still be said of it. */
+static bool rests(const rr_core *c, rr_job *j) {
+    if (!(j->done || j->cancelled) || j->open || j->own_mark == 0 || j->own_mark > c->epoch) {
+        return false;
+    }
+    job_trim(c, j);
+    return j->runs == NULL;
+}
+
+/* A whole job takes 0.8 KB: at two a second a day's would fill a controller's memory. Two looks in
+ * a row, a minute apart, so that nothing late finds a job forgotten that it could wake. */
+void rr_jobs_shrink(rr_core *c, double wall) {
+    GHashTableIter it;
+    gpointer v;
+    while (c->arrivals->len > 0 &&
+           wall - g_array_index(c->arrivals, rr_job *, 0)->at > RR_ARRIVALS_S) {
+        g_array_remove_index(c->arrivals, 0);
+    }
+    GHashTable *pinned = pinned_jobs(c);
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        rr_job *j = v;
+        bool rested = j->resting;
+        j->resting = rests(c, j) && !g_hash_table_contains(pinned, j);
+        if (rested && j->resting) {
+            gsize line = (gsize)j->ndone * 2 + (j->done ? 1 : 0);
+            g_hash_table_replace(c->finals, g_strdup(j->s.ref), GSIZE_TO_POINTER(line));
+            g_hash_table_iter_remove(&it);
+        }
+    }
+    g_hash_table_destroy(pinned);
+}
+
 rr_run *rr_garbage_run(const rr_core *c, guint i, rr_job **job) {
     const char *key = g_ptr_array_index(c->garbage, i);
     char ref[RR_ID];
@@ -1131,7 +1213,7 @@
 }
 
 bool rr_core_settled(const rr_core *c) {
-    return c->loaded && c->epoch >= c->settle;
+    return c->loaded && !c->rereading && c->epoch >= c->settle;
 }
 
 void rr_core_mirror_end(rr_core *c, uint64_t first, uint64_t last, double now) {
@@ -1184,4 +1266,5 @@
     out->leases_lost = c->leases_lost;
     out->notices = c->notices;
     out->visits = c->visits;
+    out->jobs_whole = g_hash_table_size(c->jobs);
 }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -8,6 +8,7 @@
 #define RR_CHUNK_MIN 16 /* tasks in one record of the ledger: what a value of the store holds */
 #define RR_CHUNK_MAX 256
 #define RR_EPS 1e-6
+#define RR_ARRIVALS_S 120.0 /* arrivals count for headroom this long */
 
 typedef struct {
     double cpu, gpu, mem;
@@ -84,6 +85,7 @@
     uint32_t over, finishing; /* scratch of one plan: tasks known to be over, to be recorded */
     double failed_at;         /* steady; no room was found for it then */
     bool listed, ending;      /* scratch of one plan */
+    bool resting;             /* final and out of use since the last look */
     uint32_t missing;         /* likewise: tasks that one change would bring back, 0: no matter */
     uint32_t lost;            /* scratch of one simulation: placements on machines that are gone */
     int zone;                 /* of completed tasks of a one-zone job, -1 */
@@ -185,7 +187,8 @@
     double catalog_at;    /* steady, last read from the cloud by this process */
     GArray *fresh_builds; /* rr_build read from the cloud, to be recorded */
     GHashTable *jobs;     /* ref -> rr_job */
-    GPtrArray *open;      /* rr_job*, not final or with placements */
+    GHashTable *finals; /* ref -> tasks done * 2 + 1 if done: final jobs of which nothing is left */
+    GPtrArray *open;    /* rr_job*, not final or with placements */
     GHashTable *machines; /* name -> rr_machine */
     GPtrArray *machine_list;
     GPtrArray *dirty;          /* rr_machine*: something about them is to be looked at */
@@ -197,7 +200,7 @@
     int steward;               /* place in the term, -1 */
     int peer_at[RR_MAX_NODES]; /* by place in the term: index of the peer, -1: this controller */
     unsigned plans;
-    double probe_at, strangers_at, batches_at, recount_at;
+    double probe_at, strangers_at, batches_at, recount_at, shrunk_at;
     GHashTable *pages;   /* id -> rr_page */
     GHashTable *batches; /* key -> rr_batch */
     uint32_t next_page;
@@ -273,6 +276,10 @@
 /* The record of a page, its machines as the flags in them say now. */
 void rr_page_encode(const rr_core *c, rr_out *o, const GPtrArray *machines /* rr_machine* */);
 bool rr_job_task_done(const rr_job *j, uint32_t task);
+/* A final job that is kept as a line only; *done and *ndone may be NULL. */
+bool rr_job_final(const rr_core *c, const char *ref, bool *done, uint32_t *ndone);
+/* Jobs are known for good, but final ones out of use shrink to a line. */
+void rr_jobs_shrink(rr_core *c, double wall);
 rr_run *rr_job_run(rr_job *j, uint32_t chunk); /* makes it if need be */
 void rr_run_key(const char *ref, uint32_t chunk, char *out, size_t size);
 /* The record of a chunk with these placements; done: tasks (uint32_t) completed beside those known.
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -13,6 +13,7 @@
 #define GATHER_S 16.0 /* completions wait this long at most for others of their job */
 #define TXN_BYTES ((size_t)48 * 1024) /* of the store's 64 KiB for a transaction */
 #define RECOUNT_S 60.0
+#define SHRINK_S 60.0
 #define RETRY_MAX_S 2.0 /* a job that found no room is looked at again after this at the latest */
 
 /* Changes to one record of the ledger in this plan. */
@@ -435,8 +436,10 @@
 static bool reconcile_stray(struct planner *p, rr_machine *m, const rr_piece *r) {
     const rr_core *c = p->c;
     rr_job *j = g_hash_table_lookup(c->jobs, r->ref);
-    if (!j || j->team < 0 || !rr_owns_team(c, j->team) ||
-        rr_place_find(m, r->attempt, j, r->task)) {
+    /* Of a job kept as a line the team is not known any more: the steward clears what is left. */
+    bool ours = j ? j->team >= 0 && rr_owns_team(c, j->team)
+                  : rr_job_final(c, r->ref, NULL, NULL) && rr_core_is_steward(c, p->now);
+    if (!ours || (j && rr_place_find(m, r->attempt, j, r->task))) {
         return false;
     }
     if (r->standing != RR_ENDED) {
@@ -1347,6 +1350,10 @@
     }
     g_ptr_array_free(wait, TRUE);
     planner_clear(&p);
+    if (now - c->shrunk_at > SHRINK_S) {
+        c->shrunk_at = now;
+        rr_jobs_shrink(c, wall);
+    }
 }
 
 /* Commands to it go unanswered: the others are told, since the steward may not have sent any. */
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -270,7 +270,8 @@
     for (guint i = 0; i < r->pieces->len; i++) {
         const rr_piece *p = &g_array_index(r->pieces, rr_piece, i);
         const rr_job *j = g_hash_table_lookup(c->jobs, p->ref);
-        if (p->standing != RR_ENDED && j && j->cancelled && !j->done) {
+        bool unwanted = (j && j->cancelled && !j->done) || rr_job_final(c, p->ref, NULL, NULL);
+        if (p->standing != RR_ENDED && unwanted) {
             rr_order o = {.verb = RR_STOP, .task = p->task, .attempt = p->attempt, .leave_s = 0};
             g_strlcpy(o.ref, p->ref, sizeof o.ref);
             g_array_append_val(out->orders, o);
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -9,7 +9,6 @@
 #define CATALOG_S 60.0
 #define HIRE_RETRY_S 5.0
 #define REFUSED_S 15.0
-#define ARRIVAL_WINDOW_S 120.0
 #define HIRE_MAX 50       /* the cloud's limit a call */
 #define HIRES_MAX 24      /* intents at a time */
 #define TXN_KB 48         /* of the store's 64 for a transaction */
@@ -713,10 +712,10 @@
     rr_core *c = s->c;
     double wall = s->wall;
     while (c->arrivals->len > 0 &&
-           wall - g_array_index(c->arrivals, rr_job *, 0)->at > ARRIVAL_WINDOW_S) {
+           wall - g_array_index(c->arrivals, rr_job *, 0)->at > RR_ARRIVALS_S) {
         g_array_remove_index(c->arrivals, 0);
     }
-    double span = fmin(ARRIVAL_WINDOW_S, fmax(60, wall - c->term.born));
+    double span = fmin(RR_ARRIVALS_S, fmax(60, wall - c->term.born));
     for (size_t i = 0; i < c->cfg->nobjectives; i++) {
         const struct rr_objective *o = &c->cfg->objectives[i];
         const rr_job *last = NULL;
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -14,7 +14,7 @@
 
 bool rr_core_session_seen(const rr_core *c, uint64_t tether) {
     const rr_session *s = g_hash_table_lookup(c->sessions, c->cfg->node_name);
-    return s && s->tether == tether;
+    return c->rereading || (s && s->tether == tether); /* a reread has not come to it yet */
 }
 
 void rr_core_node_put(rr_out *o, uint64_t tether) {
@@ -193,7 +193,7 @@
 
 bool rr_core_next_term(rr_core *c, double now, double wall, rr_txn *out) {
     (void)now;
-    if (!c->loaded || !rr_core_session_seen(c, c->tether)) {
+    if (!c->loaded || c->rereading || !rr_core_session_seen(c, c->tether)) {
         return false;
     }
     GPtrArray *live = g_ptr_array_new();
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -45,7 +45,7 @@
 enum rr_admit rr_core_admit(const rr_core *c, const rr_submission *s, const char **why) {
     const struct rr_team_config *t = team_config(c, s->crew);
     const rr_job *known = g_hash_table_lookup(c->jobs, s->ref);
-    if (known && known->mark) {
+    if ((known && known->mark) || rr_job_final(c, s->ref, NULL, NULL)) {
         return RR_ADMIT_KNOWN;
     }
     if (!t) {
@@ -91,6 +91,12 @@
 void rr_core_job_view(const rr_core *c, const char *ref, double now, rr_job_view *out) {
     memset(out, 0, sizeof *out);
     out->standing = "queued";
+    if (rr_job_final(c, ref, &out->done, &out->ndone)) {
+        out->known = true;
+        out->aborted = !out->done;
+        out->standing = out->done ? "done" : "aborted";
+        return;
+    }
     const rr_job *j = g_hash_table_lookup(c->jobs, ref);
     if (!j || j->mark == 0) {
         return;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -140,7 +140,7 @@
 int rr_store_list(rr_store *s, const char *prefix, const char *from, rr_doc *doc) {
     char path[512];
     rr_reply reply;
-    g_snprintf(path, sizeof path, "/store?starts=%s%s%s&limit=500", prefix, from ? "&from=" : "",
+    g_snprintf(path, sizeof path, "/store?starts=%s%s%s&limit=1000", prefix, from ? "&from=" : "",
                from ? from : "");
     if (call(s, RR_PRIO_SESSION, 0, "GET", path, NULL, 5, &reply) != 0 || reply.status != 200) {
         return -EAGAIN;
--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -376,6 +376,112 @@
     assert_int_equal(fx_placed(n->store, "req-000201"), 8);
 }
 
+static unsigned whole(const fx_node *n) {
+    rr_core_stats st;
+    rr_core_get_stats(n->core, &st);
+    return st.jobs_whole;
+}
+
+static void assert_final(const fx_node *n, int i) {
+    char ref[32];
+    rr_job_view v;
+    g_snprintf(ref, sizeof ref, "req-%06d", i);
+    rr_core_job_view(n->core, ref, n->now, &v);
+    assert_true(v.known);
+    assert_true(i % 2 ? v.done && v.ndone == 1 : v.aborted);
+}
+
+/* Jobs are known for good, so that memory would grow with every one: a final one that nothing needs
+ * any more shrinks to a line, and is told of as before. A late record of it, and a full read of all
+ * records, wake nothing; what a worker still has of it is stopped. */
+static void final_jobs_shrink_to_a_line(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    const int jobs = 20;
+    char ref[32];
+    fx_fleet(n, 1, 10, "a");
+    submit_many(n, 1, jobs, &(struct fx_job){.pieces = 1, .cpu = 1});
+    settle(n);
+    rr_out late;
+    rr_out_init(&late);
+    rr_put_map(&late, 2);
+    rr_put_key_text(&late, "bits", "0");
+    rr_put_text(&late, "tasks");
+    rr_put_array(&late, 1);
+    rr_put_array(&late, 5);
+    rr_put_u64(&late, 0);
+    rr_put_text(&late, "vm-1");
+    for (int i = 0; i < 3; i++) {
+        rr_put_u64(&late, 1);
+    }
+    for (int i = 1; i <= jobs; i++) {
+        g_snprintf(ref, sizeof ref, "req-%06d", i);
+        if (i % 2 == 0) {
+            fx_cancel(n, ref);
+        }
+        report_job(n, ref, 1, i % 2 ? "ended:done" : "ended:halted", (uint64_t)i + 1);
+        settle(n);
+    }
+    assert_int_equal(whole(n), jobs);
+    for (int i = 0; i < 5; i++) {
+        n->now += 61;
+        settle(n);
+    }
+    assert_int_equal(whole(n), 0);
+    fx_put(w->store, RR_ROOT "run/req-000001/0", &late);
+    fx_sync(w->store, n->core, n->now);
+    fx_reread(w->store, n->core, n->now);
+    assert_int_equal(whole(n), 0);
+    for (int i = 1; i <= jobs; i++) {
+        assert_final(n, i);
+    }
+    rr_core_stats st;
+    rr_core_get_stats(n->core, &st);
+    assert_int_equal(st.tasks_placed, 0);
+    rr_report r = {.tenure = 1, .tally = 900, .warrant = rr_core_token(n->core), .recall_s = -1};
+    rr_piece piece = {.ref = "req-000002", .attempt = 1, .standing = RR_RUNNING};
+    struct rr_answer ans;
+    r.pieces = g_array_new(FALSE, FALSE, sizeof(rr_piece));
+    g_array_append_val(r.pieces, piece);
+    rr_core_answer(n->core, n->now, &r, &ans);
+    assert_int_equal(ans.status, 200);
+    assert_int_equal(ans.orders->len, 1);
+    g_array_free(ans.orders, TRUE);
+    rr_report_clear(&r);
+}
+
+/* A mirror is read page by page; in between it is half a state, in which a machine may be missing
+ * that a record speaks of. Nothing is decided by it, least of all that its tasks are over. */
+static void nothing_is_decided_in_a_reread(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    rr_step s;
+    rr_txn t;
+    fx_fleet(n, 1, 4, "a");
+    submit_many(n, 1, 4, &(struct fx_job){.pieces = 1, .cpu = 1});
+    settle(n);
+    submit_many(n, 5, 4, &(struct fx_job){.pieces = 1, .cpu = 1});
+    rr_core_mirror_begin(n->core);
+    n->now += 3;
+    rr_core_plan(n->core, n->now, n->now, (rr_plan_init(&p), &p));
+    assert_false(p.has_txn);
+    assert_int_equal(p.dos->len, 0);
+    rr_plan_clear(&p);
+    rr_step_init(&s);
+    rr_core_steward_step(n->core, n->now, n->now, &s);
+    assert_int_equal(s.kind, RR_STEP_NONE);
+    rr_step_clear(&s);
+    rr_txn_init(&t);
+    assert_false(rr_core_next_term(n->core, n->now, n->now, &t));
+    rr_txn_clear(&t);
+    assert_true(rr_core_session_seen(n->core, 7)); /* not yet come to it: no reason to end it */
+    fx_reread(w->store, n->core, n->now);
+    settle(n);
+    assert_int_equal(fx_placed(w->store, "req-000001"), 1);
+    assert_int_equal(fx_placed(w->store, "req-000005"), 1);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
@@ -388,6 +494,8 @@
                                        T(the_fleet_comes_in_bulk),
                                        T(a_huge_job_among_small_ones),
                                        T(a_flooding_team),
-                                       T(services_come_back_first)};
+                                       T(services_come_back_first),
+                                       T(final_jobs_shrink_to_a_line),
+                                       T(nothing_is_decided_in_a_reread)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
