--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define FLEET 2000
+#define FLEET 2300
 
 static unsigned visits(const fx_node *n) {
     rr_core_stats st;
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -1,6 +1,7 @@
-/* A bounded load generator over loopback: users' threads submit many small jobs to one controller
- * in the stand-in world, poll each to its end and ask again. For profiling, `test_load JOBS` takes
- * more jobs than the test does, and prints rates and memory. */
+/* A bounded load generator over loopback. Users' threads submit many small jobs to one controller
+ * in the stand-in world, poll each to its end and ask again; then many more workers than it has
+ * connections for report to it. For profiling, `test_load JOBS [WORKERS]` takes more of both than
+ * the test does, and prints rates and memory. */
 #include "fakes.h"
 
 #include "app/clock.h"
@@ -8,16 +9,19 @@
 #include "net/client.h"
 #include "world.h"
 
+#include <arpa/inet.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define USERS 4
 #define JOBS_MAX 20000
+#define WORKERS_MAX 6000
 
-static unsigned jobs = 120;
+static unsigned jobs = 120, workers = 150;
 
 struct user {
     pthread_t thread;
@@ -134,12 +138,106 @@
     world_stop(w);
 }
 
+/* One report on a connection, which stays open if the controller leaves it so. Its status, 0:
+ * closed instead. */
+static int hello(int fd, unsigned n) {
+    char name[32], text[512];
+    rr_out o;
+    g_snprintf(name, sizeof name, "vm-%06u", 500000 + n);
+    rr_out_init(&o);
+    rr_put_map(&o, 9);
+    rr_put_key_text(&o, "stone", name);
+    rr_put_key_text(&o, "addr", "127.0.0.1:9");
+    rr_put_key_text(&o, "build", "m1");
+    rr_put_key_text(&o, "ward", "a");
+    rr_put_key_bool(&o, "loaners", false);
+    rr_put_key_u64(&o, "tenure", 1);
+    rr_put_key_u64(&o, "tally", 1);
+    rr_put_key_u64(&o, "warrant", 0);
+    rr_put_text(&o, "pieces");
+    rr_put_array(&o, 0);
+    int len =
+        g_snprintf(text, sizeof text,
+                   "POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n", o.buf.size);
+    bool sent = send(fd, text, (size_t)len, MSG_NOSIGNAL) == len &&
+                send(fd, o.buf.data, o.buf.size, MSG_NOSIGNAL) == (ssize_t)o.buf.size;
+    rr_out_clear(&o);
+    ssize_t got = sent ? recv(fd, text, 15, MSG_WAITALL) : 0;
+    return got == 15 ? atoi(text + 9) : 0;
+}
+
+static int dial(const struct rr_config *cfg) {
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(cfg->bind.port)};
+    struct timeval tv = {20, 0};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    inet_pton(AF_INET, cfg->bind.host, &a.sin_addr);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof tv);
+    if (fd >= 0 && connect(fd, (struct sockaddr *)&a, sizeof a) != 0) {
+        close(fd);
+        fd = -1;
+    }
+    return fd;
+}
+
+/* Every worker of a fleet at one controller that has connections for a third of them: all are
+ * answered, as nobody keeps a place that others need, and users and health checks get in. */
+static void more_workers_than_connections(void **state) {
+    (void)state;
+    world *w = world_start();
+    struct rr_app *a = g_new0(struct rr_app, 1);
+    int *fds = g_new(int, workers);
+    world_config(w, &a->cfg, "n0");
+    a->cfg.max_sockets = 100000;
+    a->cfg.tune.max_connections = (int)workers / 3;
+    assert_int_equal(rr_app_start(a), 0);
+    double until = rr_now() + 60;
+    while (world_call(&a->cfg, "GET", "/ready", NULL, 0, NULL) != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.02);
+    }
+    long before = resident_kb();
+    unsigned again = 0;
+    for (unsigned i = 0; i < workers; i++) {
+        while ((fds[i] = dial(&a->cfg)) < 0 || hello(fds[i], i) != 200) {
+            assert_true(rr_now() < until);
+            if (fds[i] >= 0) {
+                close(fds[i]);
+            }
+            again++;
+            rr_sleep(0.01);
+        }
+    }
+    int open = rr_door_open(a->door);
+    printf("%u workers, %d connections kept, %u tries more, %.0f KB a connection\n", workers, open,
+           again, (double)(resident_kb() - before) / (open ? open : 1));
+    assert_true(open <= a->cfg.tune.max_connections);
+    assert_true(open >= a->cfg.tune.max_connections / 2);
+    assert_int_equal(world_call(&a->cfg, "GET", "/ready", NULL, 0, NULL), 200);
+    int status = 0;
+    while ((status = submit(&a->cfg, "req-190001")) != 201 && status != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+    for (unsigned i = 0; i < workers; i++) {
+        close(fds[i]);
+    }
+    g_free(fds);
+    rr_app_stop(a);
+    g_free(a);
+    world_stop(w);
+}
+
 int main(int argc, char **argv) {
+    if (argc > 2) {
+        unsigned long n = strtoul(argv[2], NULL, 10);
+        workers = n >= 30 && n <= WORKERS_MAX ? (unsigned)n : workers;
+    }
     if (argc > 1) {
         unsigned long n = strtoul(argv[1], NULL, 10);
         jobs = n > 0 && n <= JOBS_MAX ? (unsigned)n : jobs;
     }
-    const struct CMUnitTest tests[] = {cmocka_unit_test(many_jobs_to_their_end)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(many_jobs_to_their_end),
+                                       cmocka_unit_test(more_workers_than_connections)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -604,6 +604,7 @@
     c->cloud_rps = 100;
     c->list_lag_s = 0.5;
     c->max_sockets = 500;
+    c->ram_mb = 200;
     rr_settings_defaults(&c->tune);
     c->tune.idle_return_s = 1000;
     pthread_mutex_lock(&w->lock);
