--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -214,6 +214,7 @@
     assert_true(open >= a->cfg.tune.max_connections / 2);
     assert_int_equal(world_call(&a->cfg, "GET", "/ready", NULL, 0, NULL), 200);
     int status = 0;
+    until = rr_now() + 60;
     while ((status = submit(&a->cfg, "req-190001")) != 201 && status != 200) {
         assert_true(rr_now() < until);
         rr_sleep(0.05);
--- a/tests/world.c
+++ b/tests/world.c
@@ -517,8 +517,9 @@
     w->kv = g_tree_new_full(by_key, NULL, g_free, value_free);
     w->log = g_ptr_array_new_with_free_func(change_free);
     w->tasks = g_array_new(FALSE, TRUE, sizeof(struct task));
-    w->daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0,
-                                 NULL, NULL, on_request, w, MHD_OPTION_SOCK_ADDR, &addr,
+    w->daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION |
+                                     MHD_USE_POLL,
+                                 0, NULL, NULL, on_request, w, MHD_OPTION_SOCK_ADDR, &addr,
                                  MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
     g_assert(w->daemon);
     w->port = MHD_get_daemon_info(w->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
