A full door is no listener that stands still

Read: at its bound the door closes connections without counting them as taken, so that a storm of them would have added listeners, each beyond the bound. Test: a_full_door_is_no_standstill, seen to fail without the guard.

--- a/src/http/door.c
+++ b/src/http/door.c
@@ -236,7 +236,9 @@
         rr_sleep(LOOK_S);
         unsigned now = taken(d);
         bool waits = poll(&pf, 1, 0) > 0 && (pf.revents & POLLIN) != 0;
-        looks = waits && now == before ? looks + 1 : 0;
+        /* At the bound each is closed at once, which is not counted as taken. */
+        bool full = atomic_load(&d->open) >= d->most;
+        looks = waits && !full && now == before ? looks + 1 : 0;
         before = now;
         if (looks == LOOKS) {
             replace_still(d);
--- a/tests/test_door.c
+++ b/tests/test_door.c
@@ -1,6 +1,7 @@
 /* The door's limits, with a handler and clients of the test's own on loopback sockets. */
 #include "fakes.h"
 
+#include "app/clock.h"
 #include "http/door.h"
 #include "world.h"
 
@@ -140,6 +141,28 @@
     close(second);
 }
 
+/* At the bound connections are closed and not counted as taken, for as long as there are too many:
+ * no reason for another listener, which would take more than there may be. */
+static void a_full_door_is_no_standstill(void **state) {
+    struct fixture *f = *state;
+    char text[1024];
+    int fds[MOST + 1];
+    for (int i = 0; i < MOST - 1; i++) {
+        fds[i] = dial(f);
+        assert_true(ask(fds[i], "/ready", text, sizeof text));
+    }
+    atomic_store(&f->stands, true);
+    fds[MOST - 1] = dial(f); /* the last one: held while it is being taken, */
+    fds[MOST] = dial(f);     /* so that this one waits */
+    rr_sleep(5);             /* longer than the watcher looks */
+    assert_int_equal(rr_door_listeners(f->door), 1);
+    sem_post(&f->go_on);
+    assert_true(ask(fds[MOST - 1], "/ready", text, sizeof text));
+    for (int i = 0; i <= MOST; i++) {
+        close(fds[i]);
+    }
+}
+
 /* The scarcest of threads, sockets, memory and the operators' own bound decides, and what the rest
  * of the process needs comes off. */
 static void the_limit_is_derived(void **state) {
@@ -167,6 +190,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(a_crowded_door, setup, teardown),
         cmocka_unit_test_setup_teardown(a_listener_that_stands_still, setup, teardown),
+        cmocka_unit_test_setup_teardown(a_full_door_is_no_standstill, setup, teardown),
         cmocka_unit_test(the_limit_is_derived)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
