--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -482,6 +482,53 @@
     assert_int_equal(fx_placed(w->store, "req-000005"), 1);
 }
 
+static void report_all(fx_node *n, int from, int to, const char *ward, uint64_t tenure,
+                       uint64_t tally) {
+    char id[32];
+    for (int m = from; m <= to; m++) {
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        fx_report(n, id, ward, false, tenure, tally, rr_core_token(n->core), NULL);
+    }
+}
+
+/* A fleet of the next size and the tasks to fill half of it: a controller starts from its full
+ * mirror and takes every report anew, then half of the fleet loses its leases. Machines looked at
+ * follow what was reported, and each record of the ledger that lost tasks costs one change. */
+static void a_fleet_anew_and_a_zone_lost(void **state) {
+    fx_world *w = *state;
+    fx_node again;
+    const int half = FLEET / 2;
+    fx_fleet(&w->n, 1, half, "a");
+    fx_fleet(&w->n, half + 1, FLEET - half, "b");
+    submit_many(
+        &w->n, 1, 100,
+        &(struct fx_job){.pieces = 8, .cpu = 4, .service = true, .apart = true, .rank = "prod"});
+    submit_many(&w->n, 201, 40, &(struct fx_job){.pieces = 60, .cpu = 4, .rank = "low"});
+    settle(&w->n);
+    unsigned records = fx_count(w->store, RR_ROOT "run/");
+    fx_node_init(&again, w->store, "n0");
+    again.now = w->n.now;
+    fx_reread(w->store, again.core, again.now);
+    fx_join(&again, 8);
+    rr_plan p;
+    report_all(&again, 1, half, "a", 2, 2); /* nothing is left there */
+    unsigned before = visits(&again);
+    fx_plan(&again, &p);
+    unsigned changes = changes_of(&p);
+    rr_plan_clear(&p);
+    /* Once each, and once more for each kind of job that is placed anew. */
+    assert_true(visits(&again) - before <= 60 * FLEET);
+    report_all(&again, half + 1, FLEET, "b", 1, 2);
+    changes += settle(&again);
+    assert_true(2 * changes <= 3 * records);
+    for (int i = 1; i <= 100; i++) {
+        char ref[32];
+        g_snprintf(ref, sizeof ref, "req-%06d", i);
+        assert_int_equal(fx_placed(w->store, ref), 8);
+    }
+    fx_node_clear(&again);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
@@ -496,6 +543,7 @@
                                        T(a_flooding_team),
                                        T(services_come_back_first),
                                        T(final_jobs_shrink_to_a_line),
-                                       T(nothing_is_decided_in_a_reread)};
+                                       T(nothing_is_decided_in_a_reread),
+                                       T(a_fleet_anew_and_a_zone_lost)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
