--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -3,6 +3,7 @@
 #include "app/app.h"
 #include "app/clock.h"
 #include "app/log.h"
+#include "app/usage.h"
 #include "cloud/cloud.h"
 #include "worker/worker.h"
 
@@ -141,6 +142,7 @@
 
 void *rr_duty_session(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_SESSION);
     rr_store *s = open_store(a);
     double life = rr_session_s(&a->cfg), step = life / 8 < 0.3 ? 0.3 : life / 8, since = 0;
     uint64_t tether = 0;
@@ -169,6 +171,7 @@
         rr_store_end_lease(s, tether);
     }
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
 
@@ -183,6 +186,9 @@
     pthread_mutex_lock(&a->lock);
     rr_core_get_stats(a->core, &st);
     pthread_mutex_unlock(&a->lock);
+    char used[256];
+    rr_usage_line(used, sizeof used);
+    rr_log(RR_INFO_LEVEL, "processor, last minute: %s", used);
     rr_log(RR_INFO_LEVEL,
            "last minute: %s; %d connections, %u machines (%u not heard), %u jobs open, %u tasks "
            "placed, "
@@ -194,6 +200,7 @@
 
 void *rr_duty_term(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_SESSION);
     rr_store *s = open_store(a);
     uint64_t seen = 0;
     double logged = rr_now();
@@ -233,6 +240,7 @@
         rr_txn_clear(&t);
     }
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
 
@@ -366,6 +374,7 @@
 
 void *rr_duty_watch(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_MIRROR);
     rr_store *s = open_store(a);
     bool loaded = false;
     double opened = 0;
@@ -399,6 +408,7 @@
         }
     }
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
 
@@ -531,6 +541,7 @@
 
 void *rr_duty_committer(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_USERS);
     rr_store *s = open_store(a);
     struct batch b;
     while (!stopping(a)) {
@@ -566,12 +577,14 @@
     pthread_cond_broadcast(&a->user_done);
     pthread_mutex_unlock(&a->user_lock);
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
 
 /* One read of the store's revision serves all polls that were waiting when it was sent. */
 void *rr_duty_barrier(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_USERS);
     rr_store *s = open_store(a);
     double last = 0;
     while (!stopping(a)) {
@@ -601,6 +614,7 @@
         pthread_mutex_unlock(&a->user_lock);
     }
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
 
@@ -649,6 +663,7 @@
 
 void *rr_duty_planner(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_PLANNER);
     rr_store *s = open_store(a);
     uint64_t kicks = 0, need = 0;
     double told = 0, committed = 0;
@@ -687,6 +702,7 @@
         pause_for(a, a->cfg.tune.plan_pause_ms / 1000);
     }
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
 
@@ -775,6 +791,7 @@
 }
 
 static void send_from(struct rr_app *a, GQueue *queue, pthread_cond_t *wake) {
+    rr_usage_enter(RR_USE_SENDERS);
     rr_client *client = rr_client_create(&a->stop);
     while (!stopping(a) && client) {
         pthread_mutex_lock(&a->lock);
@@ -789,6 +806,7 @@
         }
     }
     rr_client_destroy(client);
+    rr_usage_leave();
 }
 
 void *rr_duty_sender(void *app) {
@@ -886,6 +904,7 @@
 
 void *rr_duty_steward(void *app) {
     struct rr_app *a = app;
+    rr_usage_enter(RR_USE_STEWARD);
     rr_store *s = open_store(a);
     rr_cloud *cloud = rr_cloud_create(&a->cfg.cloud, a->cfg.cloud_rps, &a->stop);
     uint64_t need = 0;
@@ -910,5 +929,6 @@
     }
     rr_cloud_destroy(cloud);
     rr_store_destroy(s);
+    rr_usage_leave();
     return NULL;
 }
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -1,6 +1,7 @@
 #include "peer/peer.h"
 #include "app/clock.h"
 #include "app/log.h"
+#include "app/usage.h"
 #include "peer/frame.h"
 #include "worker/worker.h"
 
@@ -344,6 +345,7 @@
 
 static void *link_main(void *arg) {
     struct link *l = arg;
+    rr_usage_enter(RR_USE_PEERS);
     GByteArray *frames = g_byte_array_new();
     double beat = 0;
     int fd = -1;
@@ -367,6 +369,7 @@
         close(fd);
     }
     g_byte_array_free(frames, TRUE);
+    rr_usage_leave();
     return NULL;
 }
 
@@ -632,6 +635,7 @@
     struct inbox in;
     rr_unpack u;
     uint8_t type;
+    rr_usage_enter(RR_USE_PEERS);
     inbox_init(&in, c->fd);
     set_timeouts(c->fd, 5);
     while (client && recv_frame(p, &in, &type, &u, IDLE_S) == 0 &&
@@ -640,6 +644,7 @@
     close(c->fd);
     inbox_clear(&in);
     rr_client_destroy(client);
+    rr_usage_leave();
     pthread_mutex_lock(&p->lock);
     p->conns--;
     pthread_cond_broadcast(&p->wake);
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,7 +21,7 @@
 #define JOBS_MAX 20000
 #define WORKERS_MAX 6000
 
-static unsigned jobs = 120, workers = 150;
+static unsigned jobs = 120, workers = 150, rounds_of_mix = 3;
 
 struct user {
     pthread_t thread;
@@ -137,10 +138,38 @@
     world_stop(w);
 }
 
-/* One report on a connection, which stays open if the controller leaves it so. Its status, 0:
+/* One request on a connection, which stays open if the controller leaves it so. Its status, 0:
  * closed instead. */
-static int hello(int fd, unsigned n) {
-    char name[32], text[512];
+static int talk(int fd, const char *method, const char *path, const rr_out *body) {
+    char text[4096];
+    size_t size = body ? body->buf.size : 0, got = 0, whole = 0;
+    int len = g_snprintf(text, sizeof text,
+                         "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n", method, path,
+                         size);
+    if (size && (size_t)len + size <= sizeof text) {
+        memcpy(text + len, body->buf.data, size);
+        len += (int)size;
+    }
+    if (send(fd, text, (size_t)len, MSG_NOSIGNAL) != len) {
+        return 0;
+    }
+    while (got < sizeof text - 1 && (whole == 0 || got < whole)) {
+        ssize_t n = recv(fd, text + got, sizeof text - 1 - got, 0);
+        if (n <= 0) {
+            return 0;
+        }
+        got += (size_t)n;
+        text[got] = 0;
+        const char *end = strstr(text, "\r\n\r\n");
+        const char *length = end ? g_strstr_len(text, end - text, "Content-Length: ") : NULL;
+        whole = end ? (size_t)(end + 4 - text) + (length ? strtoul(length + 16, NULL, 10) : 0) : 0;
+    }
+    return atoi(text + 9);
+}
+
+/* A report of worker n: that many tasks, the first of them in this standing. */
+static int hello(int fd, unsigned n, uint64_t tally, unsigned tasks, const char *standing) {
+    char name[32], piece[32];
     rr_out o;
     g_snprintf(name, sizeof name, "vm-%06u", 500000 + n);
     rr_out_init(&o);
@@ -151,18 +180,20 @@
     rr_put_key_text(&o, "ward", "a");
     rr_put_key_bool(&o, "loaners", false);
     rr_put_key_u64(&o, "tenure", 1);
-    rr_put_key_u64(&o, "tally", 1);
+    rr_put_key_u64(&o, "tally", tally);
     rr_put_key_u64(&o, "warrant", 0);
     rr_put_text(&o, "pieces");
-    rr_put_array(&o, 0);
-    int len =
-        g_snprintf(text, sizeof text,
-                   "POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n", o.buf.size);
-    bool sent = send(fd, text, (size_t)len, MSG_NOSIGNAL) == len &&
-                send(fd, o.buf.data, o.buf.size, MSG_NOSIGNAL) == (ssize_t)o.buf.size;
+    rr_put_array(&o, tasks);
+    for (unsigned i = 0; i < tasks; i++) {
+        g_snprintf(piece, sizeof piece, "req-%06u/%u", 180000 + n, i);
+        rr_put_map(&o, 3);
+        rr_put_key_text(&o, "piece", piece);
+        rr_put_key_u64(&o, "try", 4294967296 + i);
+        rr_put_key_text(&o, "standing", i ? "running" : standing);
+    }
+    int status = talk(fd, "POST", "/hello", &o);
     rr_out_clear(&o);
-    ssize_t got = sent ? recv(fd, text, 15, MSG_WAITALL) : 0;
-    return got == 15 ? atoi(text + 9) : 0;
+    return status;
 }
 
 /* Every worker of a fleet at one controller that has connections for a third of them: all are
@@ -184,7 +215,7 @@
     long before = resident_kb();
     unsigned again = 0;
     for (unsigned i = 0; i < workers; i++) {
-        while ((fds[i] = world_dial(&a->cfg.bind)) < 0 || hello(fds[i], i) != 200) {
+        while ((fds[i] = world_dial(&a->cfg.bind)) < 0 || hello(fds[i], i, 1, 0, "") != 200) {
             assert_true(rr_now() < until);
             if (fds[i] >= 0) {
                 close(fds[i]);
@@ -214,17 +245,95 @@
     world_stop(w);
 }
 
+/* Processor time of the process but for the calling thread, which plays the others. */
+static double server_ms(void) {
+    struct rusage all, own;
+    getrusage(RUSAGE_SELF, &all);
+    getrusage(RUSAGE_THREAD, &own);
+    const struct timeval t[] = {all.ru_utime, all.ru_stime, own.ru_utime, own.ru_stime};
+    double ms[4];
+    for (int i = 0; i < 4; i++) {
+        ms[i] = (double)t[i].tv_sec * 1e3 + (double)t[i].tv_usec / 1e3;
+    }
+    return ms[0] + ms[1] - ms[2] - ms[3];
+}
+
+enum kind { QUIET_REPORT, NEWS_REPORT, FINAL_POLL, OPEN_POLL, READY, KINDS };
+
+static int ask(enum kind k, int fd, unsigned worker, unsigned round) {
+    static const char *const standings[] = {"fetching", "running"};
+    switch (k) {
+    case QUIET_REPORT:
+        return hello(fd, worker, 10 + round, 4, "running");
+    case NEWS_REPORT:
+        return hello(fd, worker, 1000000 + round, 4, standings[round % 2]);
+    case FINAL_POLL:
+        return talk(fd, "GET", "/submissions/req-170000", NULL);
+    case OPEN_POLL:
+        return talk(fd, "GET", "/submissions/req-170001", NULL);
+    default:
+        return talk(fd, "GET", "/ready", NULL);
+    }
+}
+
+/* What each kind of request costs the controller (for those that read the store, the stand-in's
+ * part is in it), one after the other over connections that stay. For the eye: times are not
+ * stable. That each is answered is what the test is about. */
+static void requests_by_kind(void **state) {
+    static const char *const names[] = {"report without news", "report with news",
+                                        "poll of a final job", "poll of an open job", "health check"};
+    (void)state;
+    world *w = world_start();
+    struct rr_app *a = g_new0(struct rr_app, 1);
+    unsigned n = workers < 300 ? workers : 300, rounds = rounds_of_mix;
+    int *fds = g_new(int, n);
+    world_config(w, &a->cfg, "n0");
+    a->cfg.max_sockets = 100000;
+    assert_int_equal(rr_app_start(a), 0);
+    double until = rr_now() + 60;
+    while (world_call(&a->cfg, "GET", "/ready", NULL, 0, NULL) != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.02);
+    }
+    assert_int_equal(submit(&a->cfg, "req-170000"), 201);
+    assert_int_equal(submit(&a->cfg, "req-170001"), 201);
+    assert_int_equal(world_call(&a->cfg, "POST", "/submissions/req-170000/cancel", NULL, 0, NULL),
+                     200);
+    for (unsigned i = 0; i < n; i++) {
+        fds[i] = world_dial(&a->cfg.bind);
+        assert_true(fds[i] >= 0);
+    }
+    for (int k = 0; k < KINDS; k++) {
+        double before = server_ms();
+        unsigned all = k == OPEN_POLL ? n : n * rounds; /* these wait for their barrier */
+        for (unsigned i = 0; i < all; i++) {
+            assert_int_equal(ask(k, fds[i % n], i % n, 1 + i / n), 200);
+        }
+        printf("%-20s %7u requests, %6.1f us each\n", names[k], all,
+               (server_ms() - before) * 1e3 / all);
+    }
+    for (unsigned i = 0; i < n; i++) {
+        close(fds[i]);
+    }
+    g_free(fds);
+    rr_app_stop(a);
+    g_free(a);
+    world_stop(w);
+}
+
 int main(int argc, char **argv) {
     if (argc > 2) {
         unsigned long n = strtoul(argv[2], NULL, 10);
         workers = n >= 30 && n <= WORKERS_MAX ? (unsigned)n : workers;
+        rounds_of_mix = 60;
     }
     if (argc > 1) {
         unsigned long n = strtoul(argv[1], NULL, 10);
         jobs = n > 0 && n <= JOBS_MAX ? (unsigned)n : jobs;
     }
     const struct CMUnitTest tests[] = {cmocka_unit_test(many_jobs_to_their_end),
-                                       cmocka_unit_test(more_workers_than_connections)};
+                                       cmocka_unit_test(more_workers_than_connections),
+                                       cmocka_unit_test(requests_by_kind)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
