--- a/src/app/app.c
+++ b/src/app/app.c
@@ -78,7 +78,7 @@
     return rc == 0 || rc == -ENOENT;
 }
 
-static void cond_init(pthread_cond_t *c) {
+void rr_app_cond_init(pthread_cond_t *c) {
     pthread_condattr_t a;
     pthread_condattr_init(&a);
     pthread_condattr_setclock(&a, CLOCK_MONOTONIC);
@@ -99,16 +99,19 @@
 int rr_app_start(struct rr_app *a) {
     static void *(*const duties[])(void *) = {rr_duty_session,   rr_duty_watch,   rr_duty_term,
                                               rr_duty_committer, rr_duty_barrier, rr_duty_planner,
-                                              rr_duty_steward};
+                                              rr_duty_steward,   rr_duty_door};
     struct rr_peer_events ev = {a, on_peer_report, on_heard, on_suspect, on_resign};
     pthread_mutex_init(&a->lock, NULL);
     pthread_mutex_init(&a->user_lock, NULL);
-    cond_init(&a->mirrored);
-    cond_init(&a->work);
-    cond_init(&a->do_wake);
-    cond_init(&a->slow_wake);
-    cond_init(&a->user_wake);
-    cond_init(&a->user_done);
+    rr_app_cond_init(&a->mirrored);
+    rr_app_cond_init(&a->work);
+    rr_app_cond_init(&a->do_wake);
+    rr_app_cond_init(&a->slow_wake);
+    rr_app_cond_init(&a->commit_wake);
+    rr_app_cond_init(&a->barrier_wake);
+    rr_app_cond_init(&a->barrier[0].done);
+    rr_app_cond_init(&a->barrier[1].done);
+    a->gathers = 1;
     g_queue_init(&a->do_queue);
     g_queue_init(&a->slow_queue);
     g_queue_init(&a->commits);
@@ -127,7 +130,7 @@
     int threads = 3 + (int)G_N_ELEMENTS(duties) + a->cfg.tune.senders + 1 + (int)a->cfg.npeers +
                   RR_PEER_CONNS + SPARE;
     int most = rr_door_limit(&a->cfg, threads, 2 * threads);
-    a->door = rr_door_start(&a->cfg, most, rr_app_handle, NULL, a);
+    a->door = rr_door_create(&a->cfg, most, rr_app_handle, NULL, a);
     if (!a->door) {
         rr_log(RR_ERROR_LEVEL, "bind: can't listen on %s:%u", a->cfg.bind.host, a->cfg.bind.port);
         rc = -EADDRINUSE;
@@ -157,8 +160,10 @@
     pthread_cond_broadcast(&a->slow_wake);
     pthread_mutex_unlock(&a->lock);
     pthread_mutex_lock(&a->user_lock);
-    pthread_cond_broadcast(&a->user_wake);
-    pthread_cond_broadcast(&a->user_done);
+    pthread_cond_broadcast(&a->commit_wake);
+    pthread_cond_broadcast(&a->barrier_wake);
+    pthread_cond_broadcast(&a->barrier[0].done);
+    pthread_cond_broadcast(&a->barrier[1].done);
     pthread_mutex_unlock(&a->user_lock);
     rr_door_stop(a->door); /* joins the connections' threads, which wait on the duties at most */
     for (int i = 0; i < a->nthreads; i++) {
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -30,14 +30,22 @@
 
     /* Commits for users, and polls that wait for a barrier: under `user_lock`. */
     pthread_mutex_t user_lock;
-    pthread_cond_t user_wake;               /* the committer and the barrier have work */
-    pthread_cond_t user_done;               /* some are served */
-    GQueue commits;                         /* struct rr_user_commit* */
-    uint64_t batches;                       /* written so far */
-    uint64_t tether;                        /* of our session: batches' keys are unique by it */
-    uint64_t barrier_asked, barrier_served; /* polls by turn */
-    uint64_t barrier_epoch;
-    uint64_t barrier_failed_upto;
+    pthread_cond_t commit_wake;  /* the committer has work */
+    pthread_cond_t barrier_wake; /* the barrier has work */
+    GQueue commits;              /* struct rr_user_commit* */
+    uint64_t batches;            /* written so far */
+    uint64_t tether;             /* of our session: batches' keys are unique by it */
+    /* Polls wait in groups, each for one read of the store's revision and for the mirror to reach
+     * it: one group is served while the next gathers, so that two are enough. Whoever waits is
+     * woken once, with its group. */
+    struct rr_barrier {
+        uint64_t number; /* of the group that gathers or is served here */
+        uint64_t served; /* the last one that was, */
+        bool ok;         /* and whether it succeeded */
+        unsigned waiting;
+        pthread_cond_t done;
+    } barrier[2];
+    uint64_t gathers; /* the group that gathers now */
 
     rr_budget *budget;
     rr_stats *stats;
@@ -55,6 +63,7 @@
     bool accepts;  /* a new job, which may share a record with others */
     double until;  /* given up after */
     bool finished;
+    pthread_cond_t done; /* it is */
     enum rr_commit outcome;
     uint64_t epoch;
     bool doubted; /* an earlier try went unanswered */
@@ -69,6 +78,7 @@
 /* Waits until the mirror has reached epoch. Caller holds `lock`. */
 bool rr_app_wait_epoch(struct rr_app *a, uint64_t epoch, double until);
 void rr_app_wait(struct rr_app *a, pthread_cond_t *c, pthread_mutex_t *m, double seconds);
+void rr_app_cond_init(pthread_cond_t *c); /* by the steady clock */
 /* Repeats a transaction until its outcome is certain; see duties.c. */
 enum rr_commit rr_app_commit(struct rr_app *a, rr_store *s, enum rr_prio prio, const rr_txn *t,
                              uint64_t *epoch);
@@ -86,6 +96,7 @@
 void *rr_duty_barrier(void *app);
 void *rr_duty_planner(void *app);
 void *rr_duty_steward(void *app);
+void *rr_duty_door(void *app);
 void *rr_duty_sender(void *app);
 void *rr_duty_slow_sender(void *app);
 
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -15,10 +15,24 @@
     return atomic_load(&a->stop);
 }
 
+#define LATE_S 0.4 /* a pause longer by this than asked for: half of what a probe may take */
+
+/* The process has less processor time than it has work for. What it hears is old by then, and what
+ * it waits for has perhaps come and not been read. */
+static void note_late(struct rr_app *a, double now) {
+    pthread_mutex_lock(&a->lock);
+    rr_core_set_late(a->core, now);
+    pthread_mutex_unlock(&a->lock);
+}
+
 static void pause_for(struct rr_app *a, double seconds) {
     while (seconds > 0 && !stopping(a)) {
-        double s = seconds < 0.5 ? seconds : 0.5;
+        double s = seconds < 0.5 ? seconds : 0.5, began = rr_now();
         rr_sleep(s);
+        double now = rr_now();
+        if (now - began > s + LATE_S) {
+            note_late(a, now);
+        }
         seconds -= s;
     }
 }
@@ -124,6 +138,16 @@
 
 #define ALONE_S 3.0
 
+/* Renewals that went unanswered while this process had no time to read the answers say nothing of
+ * the state service: a healthy controller resigned just after a restart of all, and its teams went
+ * round once more. */
+static bool is_late(struct rr_app *a) {
+    pthread_mutex_lock(&a->lock);
+    bool late = rr_core_late(a->core, rr_now(), ALONE_S);
+    pthread_mutex_unlock(&a->lock);
+    return late;
+}
+
 /* Refused by the state service while a peer reaches it: another should take over now, not when our
  * lease runs out. We stop commanding first, then have the peer end the lease. In an outage for all
  * no peer says yes, and everybody stays. */
@@ -163,7 +187,7 @@
             rr_log(RR_INFO_LEVEL, "session %" G_GUINT64_FORMAT " has ended", tether);
             set_session(a, 0, 0);
             tether = 0;
-        } else if (rc != 0 && rr_now() - renewed > ALONE_S && resign(a, tether)) {
+        } else if (rc != 0 && rr_now() - renewed > ALONE_S && !is_late(a) && resign(a, tether)) {
             tether = 0;
         }
     }
@@ -452,7 +476,7 @@
     memset(b, 0, sizeof *b);
     pthread_mutex_lock(&a->user_lock);
     while (!stopping(a) && g_queue_is_empty(&a->commits)) {
-        rr_app_wait(a, &a->user_wake, &a->user_lock, 1.0);
+        rr_app_wait(a, &a->commit_wake, &a->user_lock, 1.0);
     }
     while (!g_queue_is_empty(&a->commits) &&
            batch_add(&a->cfg, b, g_queue_peek_head(&a->commits)) && b->n > 0) {
@@ -533,9 +557,9 @@
             g_queue_push_tail(&a->commits, u);
         } else {
             u->finished = true;
+            pthread_cond_signal(&u->done);
         }
     }
-    pthread_cond_broadcast(&a->user_done);
     pthread_mutex_unlock(&a->user_lock);
 }
 
@@ -573,44 +597,71 @@
     while ((u = g_queue_pop_head(&a->commits))) {
         u->finished = true;
         u->outcome = RR_REFUSED;
+        pthread_cond_signal(&u->done);
     }
-    pthread_cond_broadcast(&a->user_done);
     pthread_mutex_unlock(&a->user_lock);
     rr_store_destroy(s);
     rr_usage_leave();
     return NULL;
 }
 
-/* One read of the store's revision serves all polls that were waiting when it was sent. */
+/* The group that has gathered when a read is due; the next one gathers from here on. NULL: nobody
+ * waits. */
+static struct rr_barrier *take_group(struct rr_app *a) {
+    pthread_mutex_lock(&a->user_lock);
+    struct rr_barrier *b = &a->barrier[a->gathers % 2];
+    b = b->waiting > 0 ? b : NULL;
+    a->gathers += b != NULL;
+    pthread_mutex_unlock(&a->user_lock);
+    return b;
+}
+
+static void wait_for_polls(struct rr_app *a) {
+    pthread_mutex_lock(&a->user_lock);
+    while (!stopping(a) && a->barrier[a->gathers % 2].waiting == 0) {
+        rr_app_wait(a, &a->barrier_wake, &a->user_lock, 5.0);
+    }
+    pthread_mutex_unlock(&a->user_lock);
+}
+
+/* The mirror has all that was committed before this call. */
+static bool mirror_is_current(struct rr_app *a, rr_store *s) {
+    uint64_t epoch = 0;
+    double until = rr_now() + 1.2;
+    if (rr_store_epoch(s, &epoch, 0.8) != 0) {
+        return false;
+    }
+    pthread_mutex_lock(&a->lock);
+    bool ok = rr_core_loaded(a->core) && rr_app_wait_epoch(a, epoch, until);
+    pthread_mutex_unlock(&a->lock);
+    return ok;
+}
+
+/* One read of the store's revision serves all polls that were waiting when it was sent, and this
+ * thread alone waits for the mirror to reach it: when each poll did, every change woke them all. */
 void *rr_duty_barrier(void *app) {
     struct rr_app *a = app;
     rr_usage_enter(RR_USE_USERS);
     rr_store *s = open_store(a);
     double last = 0;
     while (!stopping(a)) {
-        pthread_mutex_lock(&a->user_lock);
-        while (!stopping(a) && a->barrier_asked <= a->barrier_served) {
-            rr_app_wait(a, &a->user_wake, &a->user_lock, 1.0);
-        }
-        pthread_mutex_unlock(&a->user_lock);
+        wait_for_polls(a);
         pthread_mutex_lock(&a->lock);
         unsigned live = rr_core_live(a->core);
         pthread_mutex_unlock(&a->lock);
         /* Under load polls gather: reads take a sixth of the limit. */
         rr_sleep(last + 6.0 * (live ? live : 1) / a->cfg.state_rps - rr_now());
-        pthread_mutex_lock(&a->user_lock);
-        uint64_t turn = a->barrier_asked, epoch = 0;
-        pthread_mutex_unlock(&a->user_lock);
+        struct rr_barrier *b = take_group(a);
+        if (!b) {
+            continue;
+        }
         last = rr_now();
-        int rc = rr_store_epoch(s, &epoch, 0.8);
+        bool ok = mirror_is_current(a, s);
         pthread_mutex_lock(&a->user_lock);
-        a->barrier_served = turn;
-        if (rc == 0) {
-            a->barrier_epoch = epoch;
-        } else {
-            a->barrier_failed_upto = turn;
-        }
-        pthread_cond_broadcast(&a->user_done);
+        b->served = b->number;
+        b->ok = ok;
+        b->waiting = 0;
+        pthread_cond_broadcast(&b->done);
         pthread_mutex_unlock(&a->user_lock);
     }
     rr_store_destroy(s);
@@ -706,6 +757,30 @@
     return NULL;
 }
 
+/* ---- the door ---- */
+
+/* Nobody is let in before there is something to tell them: in term, with the mirror read. After a
+ * crash of all controllers every worker and user came at once to processes that could only refuse
+ * them, and come again a second later; each refusal cost a connection and its thread, and the
+ * reading of the mirror waited for the processor beside them. A refused connection costs nothing,
+ * and sends users and workers to the next controller all the same. In an outage of the state
+ * service users are to be told, so that the door opens after a session's time at the latest. */
+void *rr_duty_door(void *app) {
+    struct rr_app *a = app;
+    double until = rr_now() + rr_session_s(&a->cfg);
+    pthread_mutex_lock(&a->lock);
+    while (!stopping(a) && !rr_core_entitled(a->core, rr_now()) && rr_now() < until) {
+        rr_app_wait(a, &a->mirrored, &a->lock, until - rr_now());
+    }
+    pthread_mutex_unlock(&a->lock);
+    int rc;
+    while (!stopping(a) && (rc = rr_door_listen(a->door)) != 0) {
+        rr_log(RR_ERROR_LEVEL, "bind: can't listen: %s", strerror(-rc));
+        pause_for(a, 1);
+    }
+    return NULL;
+}
+
 /* ---- commands to workers ---- */
 
 /* Takes an answer's body as a report, which vouches for the machine. True if it was one. */
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define QUEUE_MAX 256 /* submissions that wait for the store at most */
+#define BARRIER_S 1.6 /* a poll's user waits for 2 s */
 
 static void refuse(struct rr_response *rs, int status, const char *why, int retry_after_s) {
     rs->status = status;
@@ -35,37 +36,39 @@
     if (v->known && (v->done || v->aborted)) {
         return true;
     }
-    double until = rr_now() + 1.6;
+    double until = rr_now() + BARRIER_S;
     pthread_mutex_lock(&a->user_lock);
-    uint64_t turn = ++a->barrier_asked;
-    pthread_cond_broadcast(&a->user_wake);
-    while (!atomic_load(&a->stop) && a->barrier_served < turn && rr_now() < until) {
-        rr_app_wait(a, &a->user_done, &a->user_lock, until - rr_now());
+    uint64_t group = a->gathers;
+    struct rr_barrier *b = &a->barrier[group % 2];
+    b->number = group;
+    if (b->waiting++ == 0) {
+        pthread_cond_signal(&a->barrier_wake);
     }
-    bool ok = a->barrier_served >= turn && a->barrier_failed_upto < turn;
-    uint64_t epoch = a->barrier_epoch;
+    while (!atomic_load(&a->stop) && b->served < group && rr_now() < until) {
+        rr_app_wait(a, &b->done, &a->user_lock, until - rr_now());
+    }
+    /* A later group was served after this one, and its read is the newer one. */
+    bool ok = b->served >= group && b->ok;
     pthread_mutex_unlock(&a->user_lock);
-    if (!ok) {
-        return false;
+    if (ok) {
+        view_of(a, ref, v);
     }
-    pthread_mutex_lock(&a->lock);
-    ok = rr_core_loaded(a->core) && rr_app_wait_epoch(a, epoch, until);
-    rr_core_job_view(a->core, ref, rr_now(), v);
-    pthread_mutex_unlock(&a->lock);
     return ok;
 }
 
 /* False if too many wait already. */
 static bool commit_for_user(struct rr_app *a, struct rr_user_commit *u) {
     pthread_mutex_lock(&a->user_lock);
-    bool room = g_queue_get_length(&a->commits) < QUEUE_MAX;
+    bool room = !atomic_load(&a->stop) && g_queue_get_length(&a->commits) < QUEUE_MAX;
     if (room) {
+        rr_app_cond_init(&u->done);
         g_queue_push_tail(&a->commits, u);
-        pthread_cond_broadcast(&a->user_wake);
+        pthread_cond_signal(&a->commit_wake);
         /* Bounded: the committer gives every entry an outcome by its time, or at the stop. */
         while (!u->finished) {
-            rr_app_wait(a, &a->user_done, &a->user_lock, 1.0);
+            rr_app_wait(a, &u->done, &a->user_lock, 1.0);
         }
+        pthread_cond_destroy(&u->done);
     }
     pthread_mutex_unlock(&a->user_lock);
     return room;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -48,6 +48,9 @@
  * rr_answer_s from there, longer than the session lasts. */
 void rr_core_set_fresh(rr_core *c, double at);
 bool rr_core_entitled(const rr_core *c, double now);
+/* The shell's own timers have just fired late: there is more work than processor time. */
+void rr_core_set_late(rr_core *c, double now);
+bool rr_core_late(const rr_core *c, double now, double within); /* so, not longer ago than this */
 /* Whether our node key stands in the mirror with this lease. */
 bool rr_core_session_seen(const rr_core *c, uint64_t tether);
 void rr_core_node_put(rr_out *o, uint64_t tether);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -9,6 +9,7 @@
 #define RR_CHUNK_MAX 256
 #define RR_EPS 1e-6
 #define RR_ARRIVALS_S 120.0 /* arrivals count for headroom this long */
+#define RR_LATE_S 2.0       /* after a late timer silences and failed probes say nothing this long */
 
 typedef struct {
     double cpu, gpu, mem;
@@ -131,7 +132,8 @@
     GHashTable *lost; /* attempts with an unanswered start under lost_token/lost_tenure */
     uint64_t lost_token, lost_tenure;
     double do_next;
-    void *plan_do; /* scratch of one plan: rr_do */
+    double reap_at; /* an exited task has waited since then to be reaped, 0: none */
+    void *plan_do;  /* scratch of one plan: rr_do */
     /* steward */
     bool listed, list_failed, to_adopt, hired, give_up, dead, releasing;
     bool surplus;
@@ -203,6 +205,7 @@
     GArray *owners;            /* int by configured team: place in the term of its owner */
     guint parts, part;         /* owners of teams in this term; which of them this controller is */
     int steward;               /* place in the term, -1 */
+    int place;                 /* this controller's, -1 */
     int peer_at[RR_MAX_NODES]; /* by place in the term: index of the peer, -1: this controller */
     unsigned plans;
     double probe_at, strangers_at, batches_at, recount_at, shrunk_at;
@@ -238,6 +241,7 @@
     GArray *zones;                  /* rr_zone_count by ward, as of the last look */
     rr_contact peers[RR_MAX_NODES]; /* by index: their links to us */
     double looked_at, woke_at;      /* the last look at zones; the first after a pause of our own */
+    double late_at;                 /* our timers last fired late, 0: never */
     rr_contact direct;              /* workers' reports to this controller itself */
     GArray *arrivals;               /* rr_job* */
     GHashTable *stray_failed;       /* names listed as failed without a record */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define RESEND_S 1.5
+#define REAP_PIECES 32 /* tasks shown by a machine beyond which none waits to be reaped */
 #define PLACE_MAX 256 /* placements in one plan at most */
 #define GATHER_S 40.0 /* completions wait this long at most for others of their job */
 #define TXN_BYTES ((size_t)48 * 1024) /* of the store's 64 KiB for a transaction */
@@ -432,6 +433,18 @@
     return true;
 }
 
+/* An exited task takes no room. Its reap goes with the next command to the machine, mostly the start
+ * of what takes its place, or after a report interval: a command of its own costs a connection, and
+ * one more report with news that every owner has to hear. Only what is done for good waits: a task
+ * that is to run again may be refused where an earlier attempt of it is still shown. */
+static bool reap_may_wait(const struct planner *p, rr_machine *m, const rr_piece *r) {
+    if (m->plan_do || r->cause != RR_DONE || m->rep.pieces->len > REAP_PIECES) {
+        return false;
+    }
+    m->reap_at = m->reap_at > 0 ? m->reap_at : p->now;
+    return p->now - m->reap_at < p->c->cfg->report_s;
+}
+
 /* Tasks on the machine that the ledger does not know: exited ones are reaped, others stopped. */
 static bool reconcile_stray(struct planner *p, rr_machine *m, const rr_piece *r) {
     const rr_core *c = p->c;
@@ -450,6 +463,9 @@
     if (start_lost(c, m, r->attempt)) {
         return false;
     }
+    if (reap_may_wait(p, m, r)) {
+        return true;
+    }
     order(p, m, RR_REAP, r->ref, r->task, r->attempt, 0);
     return true;
 }
@@ -1260,6 +1276,7 @@
         rr_machine *m = g_hash_table_lookup(p->c->machines, d->stone);
         m->do_inflight = true;
         m->plan_do = NULL;
+        m->reap_at = 0;
     }
 }
 
@@ -1398,6 +1415,9 @@
         m->suspect_until = 0;
         return;
     }
+    if (rr_core_late(c, now, RR_LATE_S)) {
+        return; /* its answer may be waiting to be read */
+    }
     m->probe_fails++;
     /* Only while it goes on reporting: a silent machine is another trouble. */
     if (!rr_machine_quiet(c, m, now)) {
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -89,8 +89,8 @@
 }
 
 /* Whether a report says anything that the one before did not. */
-static bool same_content(const rr_machine *m, const rr_report *r) {
-    return m->heard && m->rep.tenure == r->tenure && m->rep_hash == rr_report_hash(r) &&
+static bool same_content(const rr_machine *m, const rr_report *r, uint64_t hash) {
+    return m->heard && m->rep.tenure == r->tenure && m->rep_hash == hash &&
            strcmp(m->rep.addr, r->addr) == 0;
 }
 
@@ -144,16 +144,19 @@
     if (rr_machine_quiet(c, m, now)) {
         m->unanswered = m->deaf_probes = 0; /* the silence explains it */
     }
-    bool changed = !same_content(m, r);
+    uint64_t hash = rr_report_hash(r);
+    bool changed = !same_content(m, r, hash);
     if (changed) {
         note_news(c, m, r, now);
         g_strlcpy(m->addr, r->addr, sizeof m->addr);
         note_failures(c, m, r, now);
-        log_starts(c, m, r, now);
+        if (c->log_level >= RR_LOG_DEBUG) {
+            log_starts(c, m, r, now);
+        }
     }
     rr_report_clear(&m->rep);
     m->rep = *r;
-    m->rep_hash = rr_report_hash(r);
+    m->rep_hash = hash;
     r->pieces = NULL;
     m->heard = true;
     m->heard_at = now;
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -44,12 +44,7 @@
 }
 
 guint rr_term_place(const rr_core *c) {
-    for (guint i = 0; i < c->term.nodes->len; i++) {
-        if (strcmp(g_array_index(c->term.nodes, rr_session, i).name, c->cfg->node_name) == 0) {
-            return i;
-        }
-    }
-    return 0;
+    return c->place < 0 ? 0 : (guint)c->place;
 }
 
 /* Only an incarnation that the term names and whose lease surely lasts may command. */
@@ -123,6 +118,12 @@
 
 void rr_term_assign(rr_core *c) {
     g_array_set_size(c->owners, 0);
+    c->place = -1;
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        if (strcmp(g_array_index(c->term.nodes, rr_session, i).name, c->cfg->node_name) == 0) {
+            c->place = (int)i;
+        }
+    }
     for (size_t i = 0; i < c->cfg->nteams; i++) {
         int place = owner_place(c, c->cfg->teams[i].name);
         g_array_append_val(c->owners, place);
@@ -145,8 +146,7 @@
 }
 
 static bool at_place(const rr_core *c, int place) {
-    return place >= 0 && (guint)place < c->term.nodes->len &&
-           strcmp(g_array_index(c->term.nodes, rr_session, place).name, c->cfg->node_name) == 0;
+    return place >= 0 && place == c->place;
 }
 
 bool rr_owns_team(const rr_core *c, int team) {
--- a/src/core/troubles.c
+++ b/src/core/troubles.c
@@ -181,6 +181,14 @@
     return reached;
 }
 
+void rr_core_set_late(rr_core *c, double now) {
+    c->late_at = now;
+}
+
+bool rr_core_late(const rr_core *c, double now, double within) {
+    return c->late_at > 0 && now - c->late_at < within;
+}
+
 void rr_note_cuts(rr_core *c, double now) {
     if (c->looked_at <= 0 || now - c->looked_at > PAUSE_S) {
         c->woke_at = now;
@@ -200,6 +208,10 @@
     if (!was_up(m) || m->ward < 0 || rr_silent_for(m, now) < limit || m->probe_fails < 2) {
         return false;
     }
+    /* Who is behind has reports in its sockets that it has not read. */
+    if (rr_core_late(c, now, RR_LATE_S)) {
+        return false;
+    }
     /* Most of a zone may be dead or hung, and looks like a cut; but a cut silences the zone's
      * controllers, too. Where one of them is heard, whoever has been silent for longer than a lease
      * has nothing left to lose: machines that hung for good in the greater part of a zone kept
--- a/src/http/door.c
+++ b/src/http/door.c
@@ -3,6 +3,7 @@
 #include "app/log.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -171,14 +172,14 @@
     return atomic_load(&d->nlisteners);
 }
 
-static int listen_on(const struct rr_endpoint *e) {
+static int bind_to(const struct rr_endpoint *e) {
     struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(e->port)};
     int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     inet_pton(AF_INET, e->host, &a.sin_addr);
     if (fd >= 0) {
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     }
-    if (fd >= 0 && (bind(fd, (struct sockaddr *)&a, sizeof a) != 0 || listen(fd, SOMAXCONN) != 0)) {
+    if (fd >= 0 && bind(fd, (struct sockaddr *)&a, sizeof a) != 0) {
         close(fd);
         fd = -1;
     }
@@ -248,27 +249,34 @@
     return NULL;
 }
 
-rr_door *rr_door_start(const struct rr_config *cfg, int most, rr_handler_fn fn,
-                       void (*accepted)(void *user), void *user) {
+rr_door *rr_door_create(const struct rr_config *cfg, int most, rr_handler_fn fn,
+                        void (*accepted)(void *user), void *user) {
     rr_door *d = g_new0(rr_door, 1);
     d->fn = fn;
     d->user = user;
     d->accepted = accepted;
     d->most = most;
-    d->fd = listen_on(&cfg->bind);
-    if (!add_listener(d, d->fd, most)) {
-        if (d->fd >= 0) {
-            close(d->fd);
-        }
+    d->fd = bind_to(&cfg->bind);
+    if (d->fd < 0) {
         g_free(d);
         return NULL;
     }
+    return d;
+}
+
+int rr_door_listen(rr_door *d) {
+    if (listen(d->fd, SOMAXCONN) != 0) {
+        return -errno;
+    }
+    if (!add_listener(d, d->fd, d->most)) {
+        return -EAGAIN;
+    }
     pthread_attr_t attr;
     pthread_attr_init(&attr);
     pthread_attr_setstacksize(&attr, STACK);
     d->watched = pthread_create(&d->watcher, &attr, watch, d) == 0;
     pthread_attr_destroy(&attr);
-    return d;
+    return 0;
 }
 
 /* A listener that still stands still can't be stopped: what it holds is left to the process's end.
@@ -282,6 +290,9 @@
     if (d->watched) {
         pthread_join(d->watcher, NULL);
     }
+    if (atomic_load(&d->nlisteners) == 0) {
+        close(d->fd);
+    }
     for (unsigned i = atomic_load(&d->nlisteners); i > 0; i--) {
         struct listener *l = &d->listeners[i - 1];
         if (l->still && l->still_at == atomic_load(&l->taken)) {
--- a/src/http/door.h
+++ b/src/http/door.h
@@ -27,8 +27,11 @@
 int rr_door_limit(const struct rr_config *cfg, int other_threads, int other_sockets);
 /* most: connections; one more is closed at once. accepted: called for each new connection by the
  * thread that takes it, may be NULL. */
-rr_door *rr_door_start(const struct rr_config *cfg, int most, rr_handler_fn fn,
-                       void (*accepted)(void *user), void *user);
+rr_door *rr_door_create(const struct rr_config *cfg, int most, rr_handler_fn fn,
+                        void (*accepted)(void *user), void *user);
+/* The address is taken from the start; until this call connections to it are refused. 0 or -errno.
+ */
+int rr_door_listen(rr_door *d);
 unsigned rr_door_listeners(const rr_door *d); /* 1, and one more for each that stood still */
 int rr_door_open(const rr_door *d);           /* connections now */
 void rr_door_stop(rr_door *d);
--- a/tests/test_core_rules.c
+++ b/tests/test_core_rules.c
@@ -112,8 +112,41 @@
     rr_core_job_view(n->core, j.ref, n->now, &v);
     assert_true(v.done);
     assert_true(fx_booked(w->store, m, j.ref, 0) == 0);
+    /* The reap waits for another command to go with, but not for ever. */
     fx_plan(n, &p);
+    assert_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    rr_plan_clear(&p);
+    n->now += n->cfg.report_s;
+    fx_report(n, m, ward_of(m), false, 1, 3, rr_core_token(n->core), ended, NULL);
+    fx_plan(n, &p);
+    assert_non_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    rr_plan_clear(&p);
+    g_free(ended);
+}
+
+/* The reap of what is done goes with the start of what takes its place. */
+static void reap_goes_with_the_next_start(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    struct fx_job j = {.ref = "req-000002"}, next = {.ref = "req-000003"};
+    uint64_t at;
+    rr_plan p;
+    const char *m = book_one(w, &j, &at);
+    const char *other = strcmp(m, "vm-1") == 0 ? "vm-2" : "vm-1";
+    char *ended = shown(j.ref, at, "ended:done");
+    fx_report(n, m, ward_of(m), false, 1, 2, rr_core_token(n->core), ended, NULL);
+    fx_report(n, other, ward_of(other), false, 1, 2, rr_core_token(n->core), NULL);
+    assert_int_equal(fx_plan(n, &p), 1);
+    rr_plan_clear(&p);
+    next.ward = ward_of(m);
+    fx_submit(w->store, &next, n->now);
+    fx_sync(w->store, n->core, n->now);
+    assert_int_equal(fx_plan(n, &p), 1);
+    rr_plan_clear(&p);
+    fx_plan(n, &p);
+    assert_non_null(fx_order(&p, m, RR_START, next.ref, 0));
     assert_non_null(fx_order(&p, m, RR_REAP, j.ref, 0));
+    assert_int_equal(p.dos->len, 1);
     rr_plan_clear(&p);
     g_free(ended);
 }
@@ -543,6 +576,7 @@
 int main(void) {
     const struct CMUnitTest tests[] = {T(late_start_after_reassignment),
                                        T(done_is_recorded_before_reap),
+                                       T(reap_goes_with_the_next_start),
                                        T(not_done_before_all_tasks),
                                        T(old_owner_changes_nothing),
                                        T(term_change_with_commands_in_flight),
--- a/tests/test_door.c
+++ b/tests/test_door.c
@@ -5,6 +5,9 @@
 #include "http/door.h"
 #include "world.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
 #include <semaphore.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -40,8 +43,15 @@
     g_strlcpy(f->cfg.bind.host, "127.0.0.1", sizeof f->cfg.bind.host);
     f->cfg.bind.port = world_free_port();
     sem_init(&f->go_on, 0, 0);
-    f->door = rr_door_start(&f->cfg, MOST, answer, accepted, f);
+    f->door = rr_door_create(&f->cfg, MOST, answer, accepted, f);
     assert_non_null(f->door);
+    int early = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(f->cfg.bind.port)};
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(connect(early, (struct sockaddr *)&to, sizeof to), -1);
+    assert_int_equal(errno, ECONNREFUSED);
+    close(early);
+    assert_int_equal(rr_door_listen(f->door), 0);
     *state = f;
     return 0;
 }
