--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -8,6 +8,7 @@
 #include "worker/worker.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -711,13 +712,15 @@
 
 #define FEW 3
 #define FEW_S 0.3
+#define PAUSE_FACTOR 12 /* a plan's time goes into the pause after it so many times, */
+#define PAUSE_MAX_S 0.25 /* up to this: under load planning takes a bounded share */
 
 void *rr_duty_planner(void *app) {
     struct rr_app *a = app;
     rr_usage_enter(RR_USE_PLANNER);
     rr_store *s = open_store(a);
     uint64_t kicks = 0, need = 0;
-    double told = 0, committed = 0;
+    double told = 0, committed = 0, pause = 0;
     while (!stopping(a)) {
         rr_plan p;
         rr_plan_init(&p);
@@ -732,8 +735,10 @@
             /* Few at a time cost a request each. */
             changes = changes < FEW && rr_now() - committed < FEW_S ? 0 : changes;
             rr_core_set_pressure(a->core, rr_budget_pressure(a->budget), changes);
-            rr_core_plan(a->core, rr_now(), rr_wall(), &p);
+            double began = rr_now();
+            rr_core_plan(a->core, began, rr_wall(), &p);
             queue_dos(a, &p);
+            pause = fmin(PAUSE_FACTOR * (rr_now() - began), PAUSE_MAX_S);
         }
         pthread_mutex_unlock(&a->lock);
         if (p.has_txn) {
@@ -750,7 +755,7 @@
         }
         rr_plan_clear(&p);
         tell_suspects(a, &told);
-        pause_for(a, a->cfg.tune.plan_pause_ms / 1000);
+        pause_for(a, fmax(a->cfg.tune.plan_pause_ms / 1000, pause));
     }
     rr_store_destroy(s);
     rr_usage_leave();
--- a/src/app/usage.c
+++ b/src/app/usage.c
@@ -24,6 +24,7 @@
 }
 
 void rr_usage_enter(enum rr_use use) {
+    pthread_setname_np(pthread_self(), names[use]); /* for top -H and the like */
     pthread_mutex_lock(&lock);
     if (nthreads < THREADS_MAX) {
         threads[nthreads].thread = pthread_self();
@@ -72,6 +73,7 @@
     double all = ms[RR_USES] - told[RR_USES];
     told[RR_USES] = ms[RR_USES];
     g_string_append_printf(s, ", the rest %.0f ms", all > sum ? all - sum : 0);
-    g_strlcpy(out, ms[RR_USES] > 0 ? s->str : "", size);
+    /* Some systems answer these clocks with other times: then nothing is said. */
+    g_strlcpy(out, all > 0 && sum <= all * 1.01 + 1 ? s->str : "not known", size);
     g_string_free(s, TRUE);
 }
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -19,7 +19,7 @@
 #define STACK (256 * 1024)
 #define IDLE_S 20
 
-#define GATHER_S 0.03 /* what else comes in this time goes with the same send */
+#define GATHER_SHARE 0.0125 /* of a report interval: what else comes goes with the same send */
 #define BEAT_S 0.5    /* lists of machines heard, and of peers: a silence is seen later by this */
 #define HEARS_S 4.0   /* a peer heard not longer ago is heard */
 #define PATIENCE_MAX_S 30.0
@@ -265,7 +265,7 @@
     bool news = has_news(l);
     pthread_mutex_unlock(&p->lock);
     if (news) {
-        rr_sleep(GATHER_S);
+        rr_sleep(GATHER_SHARE * p->cfg->report_s);
     }
     pthread_mutex_lock(&p->lock);
     GBytes *b;
