--- a/src/app/app.c
+++ b/src/app/app.c
@@ -97,12 +97,12 @@
     return -rc;
 }
 
-static void *(*const duties[])(void *) = {
-    rr_duty_session, rr_duty_watch,   rr_duty_term,    rr_duty_committer,
-    rr_duty_barrier, rr_duty_planner, rr_duty_steward, rr_duty_door};
+static void *(*const duties[])(void *) = {rr_duty_session,   rr_duty_watch,   rr_duty_term,
+                                          rr_duty_committer, rr_duty_barrier, rr_duty_planner,
+                                          rr_duty_steward,   rr_duty_door};
 
-/* Beside the connections': main, the door's own two, the duties, the senders and the peers' threads;
- * and two sockets for each that calls out: a client keeps one and opens another. */
+/* Beside the connections': main, the door's own two, the duties, the senders and the peers'
+ * threads; and two sockets for each that calls out: a client keeps one and opens another. */
 int rr_app_connections(const struct rr_config *cfg) {
     int threads = 3 + (int)G_N_ELEMENTS(duties) + cfg->tune.senders + 1 + (int)cfg->npeers +
                   RR_PEER_CONNS + SPARE;
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -720,7 +720,7 @@
 
 #define FEW 3
 #define FEW_S 0.3
-#define PAUSE_FACTOR 12 /* a plan's time goes into the pause after it so many times, */
+#define PAUSE_FACTOR 12  /* a plan's time goes into the pause after it so many times, */
 #define PAUSE_MAX_S 0.25 /* up to this: under load planning takes a bounded share */
 
 void *rr_duty_planner(void *app) {
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -97,8 +97,10 @@
         fprintf(stderr, "ringrock: %s\n", err);
         rc = 2;
     } else if (rr_app_connections(&app->cfg) < RR_CONNECTIONS_LEAST) {
-        fprintf(stderr, "ringrock: %s: deployment.limits, max_threads and senders leave no room for "
-                        "connections\n", o.config);
+        fprintf(stderr,
+                "ringrock: %s: deployment.limits, max_threads and senders leave no room for "
+                "connections\n",
+                o.config);
         rc = 2;
     } else if (o.check) {
         printf("settings are fine\n");
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -9,7 +9,7 @@
 #define RR_CHUNK_MAX 256
 #define RR_EPS 1e-6
 #define RR_ARRIVALS_S 120.0 /* arrivals count for headroom this long */
-#define RR_LATE_S 2.0       /* after a late timer silences and failed probes say nothing this long */
+#define RR_LATE_S 2.0 /* after a late timer silences and failed probes say nothing this long */
 
 typedef struct {
     double cpu, gpu, mem;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -10,8 +10,8 @@
 
 #define RESEND_S 1.5
 #define REAP_PIECES 32 /* tasks shown by a machine beyond which none waits to be reaped */
-#define PLACE_MAX 256 /* placements in one plan at most */
-#define GATHER_S 40.0 /* completions wait this long at most for others of their job */
+#define PLACE_MAX 256  /* placements in one plan at most */
+#define GATHER_S 40.0  /* completions wait this long at most for others of their job */
 #define TXN_BYTES ((size_t)48 * 1024) /* of the store's 64 KiB for a transaction */
 #define RECOUNT_S 60.0
 #define SHRINK_S 60.0
@@ -433,10 +433,11 @@
     return true;
 }
 
-/* An exited task takes no room. Its reap goes with the next command to the machine, mostly the start
- * of what takes its place, or after a report interval: a command of its own costs a connection, and
- * one more report with news that every owner has to hear. Only what is done for good waits: a task
- * that is to run again may be refused where an earlier attempt of it is still shown. */
+/* An exited task takes no room. Its reap goes with the next command to the machine, mostly the
+ * start of what takes its place, or after a report interval: a command of its own costs a
+ * connection, and one more report with news that every owner has to hear. Only what is done for
+ * good waits: a task that is to run again may be refused where an earlier attempt of it is still
+ * shown. */
 static bool reap_may_wait(const struct planner *p, rr_machine *m, const rr_piece *r) {
     if (m->plan_do || r->cause != RR_DONE || m->rep.pieces->len > REAP_PIECES) {
         return false;
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -20,8 +20,8 @@
 #define IDLE_S 20
 
 #define GATHER_SHARE 0.0125 /* of a report interval: what else comes goes with the same send */
-#define BEAT_S 0.5    /* lists of machines heard, and of peers: a silence is seen later by this */
-#define HEARS_S 4.0   /* a peer heard not longer ago is heard */
+#define BEAT_S 0.5  /* lists of machines heard, and of peers: a silence is seen later by this */
+#define HEARS_S 4.0 /* a peer heard not longer ago is heard */
 #define PATIENCE_MAX_S 30.0
 #define LIST_MAX 512 /* machines in a frame */
 #define RARELY_S 15.0
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -143,9 +143,9 @@
 static int talk(int fd, const char *method, const char *path, const rr_out *body) {
     char text[4096];
     size_t size = body ? body->buf.size : 0, got = 0, whole = 0;
-    int len = g_snprintf(text, sizeof text,
-                         "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n", method, path,
-                         size);
+    int len =
+        g_snprintf(text, sizeof text, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n",
+                   method, path, size);
     if (size && (size_t)len + size <= sizeof text) {
         memcpy(text + len, body->buf.data, size);
         len += (int)size;
@@ -285,7 +285,8 @@
  * stable. That each is answered is what the test is about. */
 static void requests_by_kind(void **state) {
     static const char *const names[] = {"report without news", "report with news",
-                                        "poll of a final job", "poll of an open job", "health check"};
+                                        "poll of a final job", "poll of an open job",
+                                        "health check"};
     (void)state;
     world *w = world_start();
     struct rr_app *a = g_new0(struct rr_app, 1);
