--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -720,14 +720,16 @@
 
 #define FEW 3
 #define FEW_S 0.3
-#define PAUSE_FACTOR 12  /* a plan's time goes into the pause after it so many times, */
-#define PAUSE_MAX_S 0.25 /* up to this: under load planning takes a bounded share */
+#define PAUSE_SHARE 0.0125 /* of a report interval, as links gather: news comes no faster */
+#define PAUSE_FACTOR 12    /* a plan's time goes into the pause after it so many times, */
+#define PAUSE_MAX_S 0.25   /* up to this: under load planning takes a bounded share */
 
 void *rr_duty_planner(void *app) {
     struct rr_app *a = app;
     rr_usage_enter(RR_USE_PLANNER);
     rr_store *s = open_store(a);
     uint64_t kicks = 0, need = 0;
+    double least = fmax(a->cfg.tune.plan_pause_ms / 1000, PAUSE_SHARE * a->cfg.report_s);
     double told = 0, committed = 0, pause = 0;
     while (!stopping(a)) {
         rr_plan p;
@@ -763,7 +765,7 @@
         }
         rr_plan_clear(&p);
         tell_suspects(a, &told);
-        pause_for(a, fmax(a->cfg.tune.plan_pause_ms / 1000, pause));
+        pause_for(a, fmax(least, pause));
     }
     rr_store_destroy(s);
     rr_usage_leave();
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -951,6 +951,15 @@
            now >= j->hold_until && rr_owns_team(c, j->team);
 }
 
+static bool any_waits(const struct planner *p) {
+    for (guint i = 0; i < p->c->open->len; i++) {
+        if (waits(p->c, g_ptr_array_index(p->c->open, i), p->now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static GPtrArray *waiting_jobs(const struct planner *p) {
     GPtrArray *wait = g_ptr_array_new();
     for (guint i = 0; i < p->c->open->len; i++) {
@@ -1338,15 +1347,13 @@
     p.cands = g_array_new(FALSE, FALSE, sizeof(rr_cand));
     g_array_set_size(c->team_booked, 0);
     g_array_set_size(c->team_booked, (guint)c->cfg->nteams);
-    GPtrArray *wait = waiting_jobs(&p);
     /* What is over leaves part of the transaction to what waits for its start. */
     int ops = MIN(c->cfg->txn_ops, c->changes);
-    p.limit = wait->len ? ops - ops / 2 : ops;
+    p.limit = any_waits(&p) ? ops - ops / 2 : ops;
     reconcile_dirty(&p);
     record_overs(&p);
     finish_dos(&p);
-    g_ptr_array_free(wait, TRUE);
-    wait = waiting_jobs(&p); /* with those whose tasks have just lost their places */
+    GPtrArray *wait = waiting_jobs(&p); /* with those whose tasks have just lost their places */
     p.limit = ops;
     note_short(&p);
     bool round = rr_round_due(c, now);
@@ -1386,6 +1393,9 @@
 
 /* Commands to it go unanswered: the others are told, since the steward may not have sent any. */
 static void suspect(rr_core *c, rr_machine *m, double now) {
+    if (rr_core_late(c, now, RR_LATE_S)) {
+        return; /* the answer may be waiting to be read */
+    }
     m->unanswered_at = m->unanswered++ == 0 ? now : m->unanswered_at;
     if (m->unanswered >= 2) {
         rr_core_suspect(c, m->name, now);
--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -27,7 +27,8 @@
     return r && r->standing == RR_RUNNING;
 }
 
-/* No replica moves while a trouble is on: recorded machines silent, notices, or a young term. In a
+/* No replica moves while a trouble is on: recorded machines silent, notices, a young term, or this
+ * controller behind with its work, of which rounds are the last in order. In a
  * large fleet one machine or another always is in trouble: up to one in fifty says nothing. */
 static bool calm(rr_core *c, double now) {
     guint up = 0, bad = 0;
@@ -38,7 +39,7 @@
             bad += !rr_machine_fresh(c, m, now) || m->rep.recall_s >= 0;
         }
     }
-    bool quiet = bad * 50 <= up;
+    bool quiet = bad * 50 <= up && !rr_core_late(c, now, RR_LATE_S);
     if (c->round_token != c->term.token) {
         c->round_token = c->term.token;
         quiet = false;
