--- a/src/app/app.h
+++ b/src/app/app.h
@@ -33,8 +33,9 @@
     pthread_cond_t commit_wake;  /* the committer has work */
     pthread_cond_t barrier_wake; /* the barrier has work */
     GQueue commits;              /* struct rr_user_commit* */
-    uint64_t batches;            /* written so far */
-    uint64_t tether;             /* of our session: batches' keys are unique by it */
+    double pace;      /* of them were served a second by the last transaction, 0: none yet */
+    uint64_t batches; /* written so far */
+    uint64_t tether;  /* of our session: batches' keys are unique by it */
     /* Polls wait in groups, each for one read of the store's revision and for the mirror to reach
      * it: one group is served while the next gathers, so that two are enough. Whoever waits is
      * woken once, with its group. */
@@ -55,6 +56,9 @@
     int nthreads;
 };
 
+#define RR_ACCEPT_S 1.5 /* a new job waits for its transaction this long at most */
+#define RR_BATCH_MAX 96 /* users' changes in one transaction */
+
 /* A user's change waiting for its transaction. */
 struct rr_user_commit {
     char key[96];
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -447,16 +447,15 @@
 
 /* ---- users' commits and barriers ---- */
 
-#define BATCH_MAX 96
 #define BATCH_BYTES ((size_t)40 * 1024)
 
 /* What one transaction takes of the queue: changes, guards (one a job, one a batch, four for each
  * change at most) and bytes are bounded. New jobs share records. */
 struct batch {
-    struct rr_user_commit *entries[BATCH_MAX];
-    bool joins[BATCH_MAX]; /* goes into the record of the new job before it */
-    guint n, records;      /* entries; changes that they make */
-    size_t bytes, open;    /* of all; of the record being filled, 0: none */
+    struct rr_user_commit *entries[RR_BATCH_MAX];
+    bool joins[RR_BATCH_MAX]; /* goes into the record of the new job before it */
+    guint n, records;         /* entries; changes that they make */
+    size_t bytes, open;       /* of all; of the record being filled, 0: none */
 };
 
 /* The store counts JSON, which is longer than what is packed. */
@@ -469,7 +468,7 @@
     size_t size = json_size(u), most = (size_t)(cfg->value_kb * 1024) - 64;
     bool joins = u->accepts && b->open > 0 && b->open + size <= most;
     guint records = b->records + !joins;
-    if (b->n == BATCH_MAX || records > (guint)cfg->txn_ops || b->bytes + size > BATCH_BYTES ||
+    if (b->n == RR_BATCH_MAX || records > (guint)cfg->txn_ops || b->bytes + size > BATCH_BYTES ||
         b->n + 1 + records > 4 * (guint)cfg->txn_ops) {
         return b->n == 0;
     }
@@ -481,12 +480,29 @@
     return true;
 }
 
+static void finish(struct rr_user_commit *u, enum rr_commit outcome) {
+    u->outcome = outcome;
+    u->finished = true;
+    pthread_cond_signal(&u->done);
+}
+
+/* Whoever has waited for too long is told so, and not after one more transaction of others. */
+static void drop_expired(struct rr_app *a) {
+    struct rr_user_commit *u;
+    double now = rr_now();
+    while ((u = g_queue_peek_head(&a->commits)) && now > u->until) {
+        g_queue_pop_head(&a->commits);
+        finish(u, u->doubted ? RR_DOUBT : RR_REFUSED);
+    }
+}
+
 static void take_batch(struct rr_app *a, struct batch *b) {
     memset(b, 0, sizeof *b);
     pthread_mutex_lock(&a->user_lock);
     while (!stopping(a) && g_queue_is_empty(&a->commits)) {
         rr_app_wait(a, &a->commit_wake, &a->user_lock, 1.0);
     }
+    drop_expired(a);
     while (!g_queue_is_empty(&a->commits) &&
            batch_add(&a->cfg, b, g_queue_peek_head(&a->commits)) && b->n > 0) {
         g_queue_pop_head(&a->commits);
@@ -521,7 +537,7 @@
 /* Every job is guarded by its own key, batch or not: a cancellation or an earlier acceptance of it
  * fails the transaction, and the others go again without it. */
 static void batch_txn(struct rr_app *a, const struct batch *b, rr_txn *t) {
-    struct rr_user_commit *group[BATCH_MAX];
+    struct rr_user_commit *group[RR_BATCH_MAX];
     guint n = 0;
     for (guint i = 0; i < b->n; i++) {
         struct rr_user_commit *u = b->entries[i];
@@ -551,12 +567,12 @@
 }
 
 static void settle(struct rr_app *a, struct rr_user_commit **batch, guint n, enum rr_commit rc,
-                   uint64_t epoch, const GPtrArray *failed) {
+                   uint64_t epoch, const GPtrArray *failed, double took) {
     double now = rr_now();
     pthread_mutex_lock(&a->user_lock);
+    a->pace = rc == RR_COMMITTED ? n / fmax(took, 0.001) : a->pace;
     for (guint i = 0; i < n; i++) {
         struct rr_user_commit *u = batch[i];
-        u->outcome = rc;
         u->epoch = epoch;
         u->doubted = u->doubted || rc == RR_DOUBT;
         /* A conflict names its keys; the others of the batch go again. */
@@ -565,8 +581,7 @@
         if (again && !stopping(a)) {
             g_queue_push_tail(&a->commits, u);
         } else {
-            u->finished = true;
-            pthread_cond_signal(&u->done);
+            finish(u, rc);
         }
     }
     pthread_mutex_unlock(&a->user_lock);
@@ -587,6 +602,7 @@
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
         batch_txn(a, &b, &t);
         uint64_t epoch = 0;
+        double began = rr_now();
         enum rr_commit rc = rr_store_commit(s, RR_PRIO_USER, &t, 1.0, &epoch, failed);
         rr_txn_clear(&t);
         pthread_mutex_lock(&a->lock);
@@ -595,7 +611,7 @@
             a->store_ok_at = rr_now();
         }
         pthread_mutex_unlock(&a->lock);
-        settle(a, b.entries, b.n, rc, epoch, failed);
+        settle(a, b.entries, b.n, rc, epoch, failed, rr_now() - began);
         g_ptr_array_free(failed, TRUE);
         if (rc == RR_REFUSED || rc == RR_DOUBT) {
             pause_for(a, 0.1);
@@ -604,9 +620,7 @@
     pthread_mutex_lock(&a->user_lock);
     struct rr_user_commit *u;
     while ((u = g_queue_pop_head(&a->commits))) {
-        u->finished = true;
-        u->outcome = RR_REFUSED;
-        pthread_cond_signal(&u->done);
+        finish(u, RR_REFUSED);
     }
     pthread_mutex_unlock(&a->user_lock);
     rr_store_destroy(s);
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -56,10 +56,17 @@
     return ok;
 }
 
-/* False if too many wait already. */
+/* Seconds until so many changes are served at the pace of the last transaction. */
+static double wait_of(const struct rr_app *a, guint n) {
+    return n < RR_BATCH_MAX || a->pace <= 0 ? 0 : n / a->pace;
+}
+
+/* False if too many wait already, more than are served before the first of them would be given up:
+ * that is said at once. */
 static bool commit_for_user(struct rr_app *a, struct rr_user_commit *u) {
     pthread_mutex_lock(&a->user_lock);
-    bool room = !atomic_load(&a->stop) && g_queue_get_length(&a->commits) < QUEUE_MAX;
+    guint n = g_queue_get_length(&a->commits);
+    bool room = !atomic_load(&a->stop) && n < QUEUE_MAX && wait_of(a, n) < RR_ACCEPT_S;
     if (room) {
         rr_app_cond_init(&u->done);
         g_queue_push_tail(&a->commits, u);
@@ -90,7 +97,7 @@
 }
 
 static void accept_job(struct rr_app *a, const rr_submission *s, struct rr_response *rs) {
-    struct rr_user_commit u = {.until = rr_now() + 1.5, .accepts = true};
+    struct rr_user_commit u = {.until = rr_now() + RR_ACCEPT_S, .accepts = true};
     pthread_mutex_lock(&a->lock);
     /* Known to be down: answered at once, with the time to come back. The session's renewals tell
      * when it is up again; when one submission in two tried, each of those waited for 1.5 s. */
