--- /dev/null
+++ b/src/core/plan.h
@@ -0,0 +1,79 @@
+/* Inside the core only: one plan under construction, which plan.c begins and ends, reconcile.c
+ * (what placements need), place.c (what waits) and probes.c add to. It lives for one call of
+ * rr_core_plan() and owns its arrays; what it points to is the model's. */
+#ifndef RR_CORE_PLAN_H
+#define RR_CORE_PLAN_H
+
+#include "core/model.h"
+
+/* Changes to one record of the ledger in this plan. */
+struct rr_plan_edit {
+    rr_job *job;
+    rr_run *run;
+    GArray *items; /* rr_item: as they will be */
+    GArray *done;  /* uint32_t: tasks completed */
+    int zone;      /* of a completed task, -1 */
+};
+
+/* A placement known to be over. */
+struct rr_plan_over {
+    rr_machine *m;
+    rr_job *job;
+    uint32_t task;
+    uint64_t attempt;
+    bool done, wait; /* completed; may wait for others of its job */
+    bool evicted;    /* made room, for another owner's task perhaps, who waits for the record */
+    guint next;      /* 1 + the index of the next one of its record, 0: none */
+};
+
+/* A job for which there was no room in this plan: nor is there for another like it. */
+struct rr_plan_failure {
+    const rr_job *job;
+    uint64_t wards;
+};
+
+struct rr_plan_reopened {
+    rr_job *job;
+    uint32_t task;
+};
+
+struct rr_planner {
+    rr_core *c;
+    double now, wall;
+    rr_plan *out;
+    GPtrArray *edits;    /* struct rr_plan_edit* */
+    GArray *overs;       /* struct rr_plan_over */
+    GArray *reopened;    /* struct rr_plan_reopened */
+    GPtrArray *machines; /* rr_machine*: with scratch to clear */
+    GPtrArray *guards;   /* rr_job*: guarded against a cancellation in between */
+    GArray *failures;    /* struct rr_plan_failure */
+    GArray *cands;       /* rr_cand, reused */
+    int ops, limit;      /* changes so far and at most */
+    size_t bytes;        /* their size, roughly */
+    bool full;           /* the transaction takes no more */
+};
+
+/* plan.c: the transaction */
+bool rr_record_fits(const rr_core *c, guint items);
+/* The record's changes in this plan, begun if need be; NULL: the transaction takes no more. */
+struct rr_plan_edit *rr_edit_of(struct rr_planner *p, rr_job *j, uint32_t chunk);
+rr_item *rr_edit_item(const struct rr_plan_edit *e, uint64_t attempt, uint32_t task);
+void rr_plan_guard(struct rr_planner *p, rr_job *j);
+void rr_plan_use(struct rr_planner *p, rr_machine *m);
+/* A placement is known to be over. */
+void rr_plan_over(struct rr_planner *p, rr_machine *m, rr_place *pl, bool done, const char *why);
+
+/* reconcile.c */
+rr_do *rr_do_for(struct rr_planner *p, rr_machine *m); /* this plan's command to the machine */
+void rr_reconcile(struct rr_planner *p);               /* machines that something happened to */
+
+/* place.c */
+bool rr_any_waits(const struct rr_planner *p);
+GPtrArray *rr_waiting_jobs(const struct rr_planner *p); /* rr_job*; the caller's */
+void rr_place_waiting(struct rr_planner *p, GPtrArray *wait);
+void rr_make_moves(struct rr_planner *p); /* those of a round's plan that are due */
+
+/* probes.c */
+void rr_probe_silent(struct rr_planner *p);
+
+#endif
--- /dev/null
+++ b/src/core/probes.c
@@ -0,0 +1,160 @@
+/* Probes of machines that are silent or in doubt, and what the answers to commands show. */
+#include "core/plan.h"
+
+#include <string.h>
+
+/* ---- probes ---- */
+
+#define PROBES_MAX 24   /* at a time */
+#define PROBES_IN_CUT 2 /* into a zone that is mostly silent: a sample tells a cut from deaths */
+#define PROBE_EVERY_S 0.9
+#define PROBE_LOOK_S 0.3
+
+static gint by_probed(gconstpointer a, gconstpointer b) {
+    const rr_machine *x = *(rr_machine *const *)a, *y = *(rr_machine *const *)b;
+    return x->probed_at < y->probed_at ? -1 : x->probed_at > y->probed_at;
+}
+
+/* Whose silence is ours to look into: the steward's all, an owner's those with its work. */
+static bool concerns_us(const rr_core *c, const rr_machine *m, bool steward) {
+    for (guint i = 0; !steward && i < m->places->len; i++) {
+        const rr_job *j = g_array_index(m->places, rr_place, i).job;
+        if (j->team >= 0 && rr_owns_team(c, j->team)) {
+            return true;
+        }
+    }
+    return steward;
+}
+
+static bool wants_probe(const rr_core *c, const rr_machine *m, double now, bool steward) {
+    if (m->ret || !m->addr[0] || m->do_inflight || now - m->probed_at <= PROBE_EVERY_S) {
+        return false;
+    }
+    bool late = rr_silent_for(m, now) > 1.3 * c->cfg->report_s && (m->heard || m->places->len);
+    bool doubted = m->unanswered >= 2 || now < m->suspect_until;
+    /* A report about an unknown machine may be a late copy: a live exchange has to vouch for it. */
+    bool stranger = !m->recorded && m->heard && !m->vouched && !m->gone;
+    return (m->recorded ? late || doubted : stranger && steward) && concerns_us(c, m, steward);
+}
+
+/* A report late by more than its usual quarter, commands without answers: ask, with a command that
+ * carries the present token, so that a worker that a deposed controller holds on to learns of it.
+ * Those asked longest ago come first. */
+void rr_probe_silent(struct rr_planner *p) {
+    rr_core *c = p->c;
+    if (p->now - c->probe_at < PROBE_LOOK_S) {
+        return;
+    }
+    c->probe_at = p->now;
+    rr_note_cuts(c, p->now);
+    bool steward = rr_core_is_steward(c, p->now);
+    guint in_cut[c->wards.names->len + 1];
+    memset(in_cut, 0, sizeof in_cut);
+    GPtrArray *late = g_ptr_array_new();
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        if (wants_probe(c, m, p->now, steward)) {
+            g_ptr_array_add(late, m);
+        }
+    }
+    g_ptr_array_sort(late, by_probed);
+    for (guint i = 0; i < late->len && c->probing < PROBES_MAX; i++) {
+        rr_machine *m = g_ptr_array_index(late, i);
+        if (m->plan_do ||
+            (m->ward >= 0 && rr_zone_silent(c, m->ward) && in_cut[m->ward]++ >= PROBES_IN_CUT)) {
+            continue;
+        }
+        m->probed_at = p->now;
+        m->do_inflight = true;
+        rr_do *d = rr_do_for(p, m);
+        d->doubtful = true;
+        m->plan_do = NULL;
+        c->probing++;
+    }
+    g_ptr_array_free(late, TRUE);
+}
+
+/* Commands to it go unanswered: the others are told, since the steward may not have sent any. */
+static void suspect(rr_core *c, rr_machine *m, double now) {
+    if (rr_core_late(c, now, RR_LATE_S)) {
+        return; /* the answer may be waiting to be read */
+    }
+    m->unanswered_at = m->unanswered++ == 0 ? now : m->unanswered_at;
+    if (m->unanswered >= 2) {
+        rr_core_suspect(c, m->name, now);
+    }
+}
+
+void rr_core_suspect(rr_core *c, const char *stone, double now) {
+    rr_machine *m = g_hash_table_lookup(c->machines, stone);
+    if (m) {
+        m->suspect_until = now + 2 * c->cfg->report_s;
+    }
+}
+
+/* Machines whose commands got no answer twice or more in a row, for the peers. */
+void rr_core_suspects(rr_core *c, double now, GPtrArray *out) {
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        if (m->unanswered >= 2 && m->recorded && now - m->heard_at < 2 * c->cfg->report_s) {
+            g_ptr_array_add(out, g_strdup(m->name));
+        }
+    }
+}
+
+static void probe_result(rr_core *c, rr_machine *m, double now, bool answered) {
+    if (answered) {
+        m->probe_fails = 0;
+        m->deaf_probes = m->unanswered = 0;
+        m->suspect_until = 0;
+        return;
+    }
+    if (rr_core_late(c, now, RR_LATE_S)) {
+        return; /* its answer may be waiting to be read */
+    }
+    m->probe_fails++;
+    /* Only while it goes on reporting: a silent machine is another trouble. */
+    if (!rr_machine_quiet(c, m, now)) {
+        m->deaf_at = m->deaf_probes++ == 0 ? now : m->deaf_at;
+        suspect(c, m, now);
+    }
+}
+
+void rr_core_do_result(rr_core *c, double now, const rr_do *d, enum rr_do_outcome outcome,
+                       bool executed) {
+    rr_machine *m = g_hash_table_lookup(c->machines, d->stone);
+    bool probe = d->orders->len == 0;
+    c->probing -= probe && c->probing > 0;
+    if (!m) {
+        return;
+    }
+    m->do_inflight = false;
+    rr_touch(c, m);
+    if (probe) {
+        probe_result(c, m, now, outcome == RR_DO_ANSWERED);
+        return;
+    }
+    m->do_next = outcome == RR_DO_ANSWERED ? (executed ? 0 : now + 0.5) : now + 1;
+    if (outcome == RR_DO_ANSWERED) {
+        m->unanswered = 0;
+        return;
+    }
+    suspect(c, m, now);
+    if (d->via < 0) {
+        m->direct_bad_until = now + 10;
+    }
+    if (outcome != RR_DO_DOUBT) {
+        return;
+    }
+    if (m->lost_token != d->warrant || m->lost_tenure != d->tenure) {
+        g_hash_table_remove_all(m->lost);
+        m->lost_token = d->warrant;
+        m->lost_tenure = d->tenure;
+    }
+    for (guint i = 0; i < d->orders->len; i++) {
+        const rr_order *o = &g_array_index(d->orders, rr_order, i);
+        if (o->verb == RR_START) {
+            g_hash_table_add(m->lost, g_memdup2(&o->attempt, sizeof o->attempt));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/reconcile.c
@@ -0,0 +1,268 @@
+/* What each placement of this owner needs: proof that it is over, a start, a stop or a reap, and
+ * what machines have that the ledger does not know. Commands go out with the plan. */
+#include "core/plan.h"
+
+#include <math.h>
+#include <string.h>
+
+#define RESEND_S 1.5
+#define REAP_PIECES 32 /* tasks shown by a machine beyond which none waits to be reaped */
+
+/* ---- orders ---- */
+
+rr_do *rr_do_for(struct rr_planner *p, rr_machine *m) {
+    if (m->plan_do) {
+        return m->plan_do;
+    }
+    rr_do *d = g_new0(rr_do, 1);
+    g_strlcpy(d->stone, m->name, sizeof d->stone);
+    g_strlcpy(d->addr, m->addr, sizeof d->addr);
+    d->warrant = p->c->term.token;
+    d->tenure = m->rep.tenure;
+    d->orders = g_array_new(FALSE, TRUE, sizeof(rr_order));
+    d->fallback = m->via;
+    d->via = m->via >= 0 && p->now < m->direct_bad_until ? m->via : -1;
+    d->doubtful = m->unanswered > 0 || rr_silent_for(m, p->now) > 1.3 * p->c->cfg->report_s;
+    m->plan_do = d;
+    g_ptr_array_add(p->out->dos, d);
+    return d;
+}
+
+static void order(struct rr_planner *p, rr_machine *m, enum rr_verb verb, const char *ref,
+                  uint32_t task, uint64_t attempt, double leave_s) {
+    rr_order o = {.verb = verb, .task = task, .attempt = attempt, .leave_s = leave_s};
+    g_strlcpy(o.ref, ref, sizeof o.ref);
+    g_array_append_val(rr_do_for(p, m)->orders, o);
+}
+
+/* An attempt's start may be under way still: it went unanswered under this token and tenure. */
+static bool start_lost(const rr_core *c, const rr_machine *m, uint64_t attempt) {
+    return m->lost_token == c->term.token && m->lost_tenure == m->rep.tenure &&
+           g_hash_table_contains(m->lost, &attempt);
+}
+
+static const char *cause_name(enum rr_cause cause) {
+    static const char *const names[] = {"ended", "done",   "halted",  "error",
+                                        "full",  "in use", "no such", "ended"};
+    return names[cause];
+}
+
+/* ---- what a placement needs ---- */
+
+/* The older placement of a task is the live one; a newer one waits for its end (moves: the
+ * destination is booked first). */
+static bool has_older(const rr_place *pl) {
+    rr_job *j = pl->job;
+    if (!j->placed || pl->task >= j->s.pieces || j->placed[pl->task] < 2) {
+        return false;
+    }
+    const rr_run *r = rr_job_run(j, pl->task / j->per);
+    for (guint i = 0; i < r->items->len; i++) {
+        const rr_item *it = &g_array_index(r->items, rr_item, i);
+        if (it->task == pl->task && it->attempt < pl->attempt) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool unwanted(const rr_machine *m, const rr_place *pl) {
+    return pl->job->cancelled || rr_job_task_done(pl->job, pl->task) || pl->evict ||
+           m->rep.recall_s >= 0;
+}
+
+/* Time to save: what the aim of the work that waits, or the notice, leaves. */
+static double leave_for(const rr_machine *m, const rr_place *pl) {
+    if (pl->job->cancelled || pl->job->done || pl->job->s.cairn_s <= 0) {
+        return 0;
+    }
+    if (pl->evict == RR_EVICT_AT_ONCE) {
+        return 0;
+    }
+    double leave = pl->job->s.stash_s + 2;
+    if (m->rep.recall_s >= 0 && m->rep.recall_s < leave) {
+        leave = fmax(m->rep.recall_s, 0);
+    }
+    return leave;
+}
+
+static void stop_place(struct rr_planner *p, rr_machine *m, rr_place *pl, const rr_piece *r) {
+    double leave = leave_for(m, pl);
+    /* A task that is saving is left to it, unless its user has cancelled the job. */
+    if (pl->stop_at > 0 && p->now - pl->stop_at < RESEND_S) {
+        return;
+    }
+    if (r && r->standing == RR_FLUSHING && leave > 0) {
+        return;
+    }
+    if (!r && !start_lost(p->c, m, pl->attempt)) {
+        return;
+    }
+    if (!r) {
+        /* An unanswered start may come late. Started and stopped under one token, the attempt
+         * stays on the machine as exited and blocks the late copy. */
+        order(p, m, RR_START, pl->job->s.ref, pl->task, pl->attempt, 0);
+        leave = 0;
+    }
+    order(p, m, RR_STOP, pl->job->s.ref, pl->task, pl->attempt, leave);
+    pl->stop_at = p->now;
+}
+
+/* Booked over others that are to go first: the machine would refuse it now. Where nothing is to go,
+ * two owners booked the same room, and the worker decides between them. */
+static bool room_coming(const rr_core *c, const rr_machine *m) {
+    bool leaving = false;
+    rr_res used = m->used;
+    for (guint i = 0; i < m->places->len; i++) {
+        const rr_place *q = &g_array_index(m->places, rr_place, i);
+        bool over = q->over_at > 0;
+        used = over ? rr_res_add(used, q->job->need, -1) : used;
+        leaving = leaving || (!over && (q->evict || q->job->cancelled));
+    }
+    return leaving && !rr_res_fits(used, rr_machine_cap(c, m));
+}
+
+static void start_place(struct rr_planner *p, rr_machine *m, rr_place *pl) {
+    if (pl->start_at > 0 && p->now - pl->start_at < RESEND_S) {
+        return;
+    }
+    if (room_coming(p->c, m) || has_older(pl) || m->ret) {
+        return;
+    }
+    order(p, m, RR_START, pl->job->s.ref, pl->task, pl->attempt, 0);
+    pl->start_at = p->now;
+}
+
+/* True: it is to be looked at again before the machine reports anything new. */
+static bool reconcile_place(struct rr_planner *p, rr_machine *m, rr_place *pl) {
+    const rr_core *c = p->c;
+    const rr_piece *r = rr_piece_find(m, pl);
+    if (m->rep.tenure > pl->tenure) {
+        /* The worker killed and forgot everything of the earlier tenure, and commands for it are
+         * refused. */
+        rr_plan_over(p, m, pl, r && r->standing == RR_ENDED && r->cause == RR_DONE, "later tenure");
+        return true;
+    }
+    if (r && r->standing == RR_ENDED) {
+        /* Shown as exited it can't start again before it is reaped, and that comes after this. */
+        rr_plan_over(p, m, pl, r->cause == RR_DONE, cause_name(r->cause));
+        return true;
+    }
+    bool stop = unwanted(m, pl);
+    if (r && !stop) {
+        return false;
+    }
+    if (m->do_inflight || p->now < m->do_next || !rr_machine_fresh(c, m, p->now)) {
+        return true;
+    }
+    if (!stop) {
+        start_place(p, m, pl);
+        return true;
+    }
+    /* Absent in a report that knows the present token, with no start of this term under way: it
+     * never will be there. */
+    if (!r && m->rep.warrant == c->term.token && !start_lost(c, m, pl->attempt)) {
+        rr_plan_over(p, m, pl, false, "absent");
+    } else {
+        stop_place(p, m, pl, r);
+    }
+    return true;
+}
+
+/* An exited task takes no room. Its reap goes with the next command to the machine, mostly the
+ * start of what takes its place, or after a report interval: a command of its own costs a
+ * connection, and one more report with news that every owner has to hear. Only what is done for
+ * good waits: a task that is to run again may be refused where an earlier attempt of it is still
+ * shown. */
+static bool reap_may_wait(const struct rr_planner *p, rr_machine *m, const rr_piece *r) {
+    if (m->plan_do || r->cause != RR_DONE || m->rep.pieces->len > REAP_PIECES) {
+        return false;
+    }
+    m->reap_at = m->reap_at > 0 ? m->reap_at : p->now;
+    return p->now - m->reap_at < p->c->cfg->report_s;
+}
+
+/* Tasks on the machine that the ledger does not know: exited ones are reaped, others stopped. */
+static bool reconcile_stray(struct rr_planner *p, rr_machine *m, const rr_piece *r) {
+    const rr_core *c = p->c;
+    rr_job *j = g_hash_table_lookup(c->jobs, r->ref);
+    /* Of a job kept as a line the team is not known any more: the steward clears what is left. */
+    bool ours = j ? j->team >= 0 && rr_owns_team(c, j->team)
+                  : rr_job_final(c, r->ref, NULL, NULL) && rr_core_is_steward(c, p->now);
+    if (!ours || (j && rr_place_find(m, r->attempt, j, r->task))) {
+        return false;
+    }
+    if (r->standing != RR_ENDED) {
+        order(p, m, RR_STOP, r->ref, r->task, r->attempt, 0);
+        return true;
+    }
+    /* While a copy of its start may come late, the exited attempt stays and blocks it. */
+    if (start_lost(c, m, r->attempt)) {
+        return false;
+    }
+    if (reap_may_wait(p, m, r)) {
+        return true;
+    }
+    order(p, m, RR_REAP, r->ref, r->task, r->attempt, 0);
+    return true;
+}
+
+/* Another owner's task: that it is over makes room, long before its owner records it. */
+static void see_over(const struct rr_planner *p, const rr_machine *m, rr_place *pl) {
+    const rr_piece *r = rr_piece_find(m, pl);
+    if (pl->over_at <= 0 &&
+        ((r && r->standing == RR_ENDED) || (m->heard && m->rep.tenure > pl->tenure))) {
+        pl->over_at = p->now;
+    }
+}
+
+/* True: to be looked at again with the next plan. */
+static bool reconcile(struct rr_planner *p, rr_machine *m) {
+    rr_core *c = p->c;
+    bool again = false;
+    c->visits++;
+    /* A booking is made on a recorded machine only; one whose record has gone is proven gone. */
+    bool gone = !m->recorded;
+    if (!gone && (!m->heard || m->rep.warrant > c->term.token)) {
+        return false; /* a report or the next term brings it back */
+    }
+    for (guint i = 0; i < m->places->len; i++) {
+        rr_place *pl = &g_array_index(m->places, rr_place, i);
+        if (pl->job->team < 0 || !rr_owns_team(c, pl->job->team)) {
+            see_over(p, m, pl);
+            continue;
+        }
+        if (gone) {
+            rr_plan_over(p, m, pl, false, "machine gone"); /* proven by its record's end */
+            again = true;
+        } else {
+            again = reconcile_place(p, m, pl) || again;
+        }
+    }
+    if (gone || m->do_inflight || p->now < m->do_next || !rr_machine_fresh(c, m, p->now)) {
+        return again || m->do_inflight || p->now < m->do_next;
+    }
+    for (guint i = 0; i < m->rep.pieces->len; i++) {
+        again = reconcile_stray(p, m, &g_array_index(m->rep.pieces, rr_piece, i)) || again;
+    }
+    return again;
+}
+
+void rr_reconcile(struct rr_planner *p) {
+    rr_core *c = p->c;
+    if (c->all_dirty_token != c->term.token) {
+        c->all_dirty_token = c->term.token;
+        for (guint i = 0; i < c->machine_list->len; i++) {
+            rr_touch(c, g_ptr_array_index(c->machine_list, i));
+        }
+    }
+    guint n = c->dirty->len, kept = 0;
+    for (guint i = 0; i < n; i++) {
+        rr_machine *m = g_ptr_array_index(c->dirty, i);
+        m->dirty = reconcile(p, m);
+        if (m->dirty) {
+            c->dirty->pdata[kept++] = m;
+        }
+    }
+    g_ptr_array_set_size(c->dirty, (gint)kept);
+}
