--- a/src/core/model.c
+++ b/src/core/model.c
@@ -184,54 +184,7 @@
     g_snprintf(out, size, RR_ROOT "run/%s/%u", ref, chunk);
 }
 
-/* ---- builds ---- */
-
-const rr_build *rr_build_at(const rr_core *c, int build) {
-    if (build < 0 || (guint)build >= c->build_info->len) {
-        return NULL;
-    }
-    const rr_build *b = &g_array_index(c->build_info, rr_build, build);
-    return b->sku[0] ? b : NULL;
-}
-
-static int build_index(rr_core *c, const char *sku) {
-    int i = rr_names_add(&c->builds, sku);
-    if ((guint)i >= c->build_info->len) {
-        g_array_set_size(c->build_info, (guint)i + 1);
-    }
-    return i;
-}
-
-static void put_build(rr_core *c, const msgpack_object *v) {
-    rr_build b;
-    if (rr_build_decode(v, &b) != 0) {
-        rr_build_clear(&b);
-        return;
-    }
-    int index = build_index(c, b.sku); /* may move the array */
-    rr_build *slot = &g_array_index(c->build_info, rr_build, index);
-    rr_build_clear(slot);
-    *slot = b;
-    for (guint i = 0; i < b.wards->len; i++) {
-        rr_names_add(&c->wards, g_ptr_array_index(b.wards, i));
-    }
-    c->catalog_known = true;
-}
-
-rr_res rr_machine_cap(const rr_core *c, const rr_machine *m) {
-    const rr_build *b = rr_build_at(c, m->build);
-    return b ? (rr_res){b->vcpus, b->cards, b->mem_gb} : (rr_res){0, 0, 0};
-}
-
-/* Machines that stood there before the service did are the paper's private cluster: they cost
- * nothing more by being used and are never returned. */
-double rr_machine_price(const rr_core *c, const rr_machine *m) {
-    const rr_build *b = rr_build_at(c, m->build);
-    if (m->own || !b) {
-        return 0;
-    }
-    return m->loaners ? b->spot_price : b->price;
-}
+/* ---- objectives ---- */
 
 const struct rr_objective *rr_objective_for(const rr_core *c, const char *kind, const char *lane) {
     for (size_t i = 0; i < c->cfg->nobjectives; i++) {
@@ -896,136 +849,6 @@
     }
 }
 
-/* ---- the fleet ---- */
-
-#define FLAG_LOANERS 1
-#define FLAG_OWN 2
-#define FLAG_RET 4
-
-size_t rr_page_entry_bytes(const rr_core *c, const rr_machine *m) {
-    return 44 + strlen(m->name) + strlen(m->addr) + strlen(rr_names_at(&c->builds, m->build)) +
-           strlen(rr_names_at(&c->wards, m->ward));
-}
-
-void rr_page_encode(const rr_core *c, rr_out *o, const GPtrArray *machines) {
-    rr_put_map(o, 1);
-    rr_put_text(o, "stones");
-    rr_put_array(o, machines->len);
-    for (guint i = 0; i < machines->len; i++) {
-        const rr_machine *m = g_ptr_array_index(machines, i);
-        rr_put_array(o, 6);
-        rr_put_text(o, m->name);
-        rr_put_text(o, m->addr);
-        rr_put_text(o, rr_names_at(&c->builds, m->build));
-        rr_put_text(o, rr_names_at(&c->wards, m->ward));
-        rr_put_u64(o, (uint64_t)((m->loaners ? FLAG_LOANERS : 0) | (m->own ? FLAG_OWN : 0) |
-                                 (m->give_up ? FLAG_RET : 0)));
-        rr_put_u64(o, m->born > 0 ? (uint64_t)m->born : 0);
-    }
-}
-
-/* Its record no longer has it: it is gone: so is all that was on it. What the ledger has there goes
- * with its owners' next plans; until then the machine stays as a name. */
-static void drop_machine(rr_core *c, rr_machine *m, double now) {
-    double *at = g_new(double, 1);
-    *at = now;
-    g_hash_table_replace(c->gone, g_strdup(m->name), at);
-    m->recorded = m->to_adopt = false;
-    m->gone = true;
-    if (m->places->len == 0) {
-        rr_machine_forget(c, m);
-    } else {
-        rr_touch(c, m);
-    }
-}
-
-static void page_entry(rr_core *c, const msgpack_object *o, uint32_t page, double now) {
-    char name[RR_ID], addr[RR_ID], build[RR_ID], ward[RR_TEXT];
-    uint64_t flags;
-    const msgpack_object *f = o->type == MSGPACK_OBJECT_ARRAY ? o->via.array.ptr : NULL;
-    if (!f || o->via.array.size < 6 || !rr_as_text(&f[0], name, sizeof name) || !name[0] ||
-        !rr_as_text(&f[1], addr, sizeof addr) || !rr_as_text(&f[2], build, sizeof build) ||
-        !rr_as_text(&f[3], ward, sizeof ward) || !rr_as_u64(&f[4], &flags)) {
-        return;
-    }
-    rr_machine *m = rr_machine_get(c, name, now);
-    if (!m->recorded) {
-        m->known_at = m->idle_since = now;
-        m->young = !c->rereading && !m->heard;
-        rr_touch(c, m);
-    }
-    bool ret = flags & FLAG_RET;
-    m->ret_at = ret && !m->ret ? now : m->ret_at;
-    m->ret = ret;
-    m->recorded = m->keep = true;
-    m->gone = m->to_adopt = false;
-    m->page = page;
-    m->build = build_index(c, build);
-    m->ward = rr_names_add(&c->wards, ward);
-    m->loaners = flags & FLAG_LOANERS;
-    m->own = flags & FLAG_OWN;
-    c->ever_hired = c->ever_hired || !m->own;
-    rr_as_num(&f[5], &m->born);
-    if (!m->heard && addr[0]) {
-        g_strlcpy(m->addr, addr, sizeof m->addr);
-    }
-}
-
-/* Machines of the page that its record no longer has. */
-static void drop_unkept(rr_core *c, uint32_t page, double now) {
-    for (guint i = c->machine_list->len; i > 0; i--) {
-        rr_machine *m = g_ptr_array_index(c->machine_list, i - 1);
-        if (m->recorded && m->page == page && !m->keep) {
-            drop_machine(c, m, now);
-        }
-    }
-}
-
-static void put_page(rr_core *c, const char *rest, const msgpack_object *v, uint64_t mark,
-                     double now) {
-    uint32_t id = (uint32_t)g_ascii_strtoull(rest, NULL, 10);
-    rr_page *p = g_hash_table_lookup(c->pages, GUINT_TO_POINTER(id));
-    const msgpack_object *list = rr_get(v, "stones");
-    if (id == 0 || !list || list->type != MSGPACK_OBJECT_ARRAY || (p && mark < p->mark)) {
-        return;
-    }
-    if (!p) {
-        p = g_new0(rr_page, 1);
-        p->id = id;
-        g_hash_table_insert(c->pages, GUINT_TO_POINTER(id), p);
-    }
-    p->mark = mark;
-    p->keep = true;
-    c->next_page = id >= c->next_page ? id + 1 : c->next_page;
-    for (guint i = 0; i < c->machine_list->len; i++) {
-        rr_machine *m = g_ptr_array_index(c->machine_list, i);
-        m->keep = m->keep && m->page != id;
-    }
-    p->bytes = 0;
-    for (uint32_t i = 0; i < list->via.array.size; i++) {
-        page_entry(c, &list->via.array.ptr[i], id, now);
-    }
-    for (guint i = 0; i < c->machine_list->len; i++) {
-        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
-        p->bytes += m->recorded && m->page == id && m->keep ? rr_page_entry_bytes(c, m) : 0;
-    }
-    drop_unkept(c, id, now);
-}
-
-static void delete_page(rr_core *c, const char *rest, uint64_t mark, double now) {
-    uint32_t id = (uint32_t)g_ascii_strtoull(rest, NULL, 10);
-    const rr_page *p = g_hash_table_lookup(c->pages, GUINT_TO_POINTER(id));
-    if (!p || mark < p->mark) {
-        return;
-    }
-    for (guint i = 0; i < c->machine_list->len; i++) {
-        rr_machine *m = g_ptr_array_index(c->machine_list, i);
-        m->keep = m->keep && m->page != id;
-    }
-    drop_unkept(c, id, now);
-    g_hash_table_remove(c->pages, GUINT_TO_POINTER(id));
-}
-
 /* ---- terms, sessions, hires ---- */
 
 static void put_session(rr_core *c, const char *name, const msgpack_object *v) {
@@ -1096,7 +919,7 @@
                         double now) {
     const char *rest;
     if ((rest = after(key, RR_ROOT "fleet/"))) {
-        put_page(c, rest, v, mark, now);
+        rr_page_put(c, rest, v, mark, now);
     } else if ((rest = after(key, RR_ROOT "job/"))) {
         put_job(c, rest, v, mark, now);
     } else if ((rest = after(key, RR_ROOT "run/"))) {
@@ -1108,7 +931,7 @@
     } else if ((rest = after(key, RR_ROOT "hire/"))) {
         put_hire(c, rest, v, mark);
     } else if (after(key, RR_ROOT "build/")) {
-        put_build(c, v);
+        rr_build_put(c, v);
     } else if (after(key, RR_ROOT "batch/")) {
         put_batch(c, key, v, mark, now);
     } else {
@@ -1120,7 +943,7 @@
 void rr_core_mirror_delete(rr_core *c, const char *key, uint64_t mark, double now) {
     const char *rest;
     if ((rest = after(key, RR_ROOT "fleet/"))) {
-        delete_page(c, rest, mark, now);
+        rr_page_delete(c, rest, mark, now);
     } else if ((rest = after(key, RR_ROOT "run/"))) {
         delete_run(c, rest, mark, now);
     } else if ((rest = after(key, RR_ROOT "node/"))) {
@@ -1222,7 +1045,7 @@
         rr_machine *m = g_ptr_array_index(c->machine_list, i - 1);
         const rr_page *p = g_hash_table_lookup(c->pages, GUINT_TO_POINTER(m->page));
         if (m->recorded && !m->keep && !(p && p->mark > first)) {
-            drop_machine(c, m, now);
+            rr_machine_drop(c, m, now);
         }
     }
     g_hash_table_foreach_remove(c->hires, hire_stale, NULL);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -276,17 +276,24 @@
 /* Free room on the scarcest resource, as a share of the machine. */
 double rr_res_room(rr_res room, rr_res cap);
 
-/* model.c */
+/* fleet.c */
+void rr_build_put(rr_core *c, const msgpack_object *v);
+void rr_page_put(rr_core *c, const char *rest, const msgpack_object *v, uint64_t mark, double now);
+void rr_page_delete(rr_core *c, const char *rest, uint64_t mark, double now);
+/* Its record has gone, and so has it. */
+void rr_machine_drop(rr_core *c, rr_machine *m, double now);
 const rr_build *rr_build_at(const rr_core *c, int build);
 rr_res rr_machine_cap(const rr_core *c, const rr_machine *m);
 double rr_machine_price(const rr_core *c, const rr_machine *m);
+size_t rr_page_entry_bytes(const rr_core *c, const rr_machine *m);
+/* The record of a page, its machines as the flags in them say now. */
+void rr_page_encode(const rr_core *c, rr_out *o, const GPtrArray *machines /* rr_machine* */);
+
+/* model.c */
 rr_machine *rr_machine_get(rr_core *c, const char *name, double now);
 void rr_machine_forget(rr_core *c, rr_machine *m);
 void rr_touch(rr_core *c, rr_machine *m); /* it is to be reconciled */
 void rr_page_key(uint32_t page, char *out, size_t size);
-size_t rr_page_entry_bytes(const rr_core *c, const rr_machine *m);
-/* The record of a page, its machines as the flags in them say now. */
-void rr_page_encode(const rr_core *c, rr_out *o, const GPtrArray *machines /* rr_machine* */);
 bool rr_job_task_done(const rr_job *j, uint32_t task);
 /* A final job that is kept as a line only; *done and *ndone may be NULL. */
 bool rr_job_final(const rr_core *c, const char *ref, bool *done, uint32_t *ndone);
