--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -6,7 +6,10 @@
 #include "app/log.h"
 #include "world.h"
 
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 struct service {
     world *w;
@@ -226,6 +229,8 @@
     world_store_down(s->w, true);
     stop_app(s->app);
     s->app = start_app(s->w, "n0");
+    /* Nobody is let in before there is anything to tell, for a session's time. */
+    assert_int_equal(world_call(&s->app->cfg, "GET", "/ready", NULL, 0, NULL), -1);
     assert_string_equal(poll_standing(s->app, "req-170000", got, sizeof got), "");
     world_store_down(s->w, false);
     double until = rr_now() + 75;
@@ -241,6 +246,80 @@
     }
 }
 
+#define WAITERS 24
+
+/* How often each of the process's threads has gone to sleep so far, by its number in the system. */
+static GHashTable *sleeps(void) {
+    GHashTable *n = g_hash_table_new(NULL, NULL);
+    GDir *dir = g_dir_open("/proc/self/task", 0, NULL);
+    const char *id;
+    assert_non_null(dir);
+    while ((id = g_dir_read_name(dir))) {
+        char *path = g_strdup_printf("/proc/self/task/%s/status", id), *text = NULL;
+        if (g_file_get_contents(path, &text, NULL, NULL)) {
+            const char *line = strstr(text, "\nvoluntary_ctxt_switches:");
+            unsigned long k = line ? strtoul(line + 25, NULL, 10) : 0;
+            g_hash_table_insert(n, GSIZE_TO_POINTER(strtoul(id, NULL, 10)), GSIZE_TO_POINTER(k));
+        }
+        g_free(text);
+        g_free(path);
+    }
+    g_dir_close(dir);
+    return n;
+}
+
+static unsigned waiting_polls(struct rr_app *a) {
+    pthread_mutex_lock(&a->user_lock);
+    unsigned n = a->barrier[0].waiting + a->barrier[1].waiting;
+    pthread_mutex_unlock(&a->user_lock);
+    return n;
+}
+
+/* Users who wait for their answer are woken for their own turn only: each commit and each change
+ * once woke everybody, and took the lock for each. */
+static void waiting_users_are_left_alone(void **state) {
+    struct service *s = *state;
+    const char ask[] = "GET /submissions/req-500010 HTTP/1.1\r\nHost: x\r\n\r\n";
+    int fds[WAITERS];
+    char byte;
+    GHashTableIter it;
+    gpointer id, before;
+    /* The mirror stands still behind the store, so that polls wait. */
+    world_freeze_watches(s->w, true);
+    assert_int_equal(submit(s->app, "req-500010", 1, true), 201);
+    for (int i = 0; i < WAITERS; i++) {
+        fds[i] = world_dial(&s->app->cfg.bind);
+        assert_true(fds[i] >= 0);
+        assert_int_equal(send(fds[i], ask, sizeof ask - 1, MSG_NOSIGNAL), sizeof ask - 1);
+    }
+    double until = rr_now() + 20;
+    while (waiting_polls(s->app) < WAITERS && rr_now() < until) {
+        rr_sleep(0.001);
+    }
+    GHashTable *first = sleeps();
+    for (int i = 0; i < 12; i++) {
+        char ref[32];
+        g_snprintf(ref, sizeof ref, "req-5000%d", 20 + i);
+        assert_int_equal(submit(s->app, ref, 1, true), 201);
+    }
+    GHashTable *last = sleeps();
+    unsigned woken = 0;
+    g_hash_table_iter_init(&it, first);
+    while (g_hash_table_iter_next(&it, &id, &before)) {
+        gsize now = GPOINTER_TO_SIZE(g_hash_table_lookup(last, id));
+        woken += now >= GPOINTER_TO_SIZE(before) + 8;
+    }
+    /* The duties and the stand-in were busy; two in three of the users were not. */
+    assert_true(woken <= WAITERS / 3);
+    world_freeze_watches(s->w, false);
+    for (int i = 0; i < WAITERS; i++) {
+        assert_int_equal(recv(fds[i], &byte, 1, 0), 1);
+        close(fds[i]);
+    }
+    g_hash_table_destroy(first);
+    g_hash_table_destroy(last);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
@@ -250,7 +329,8 @@
                                        T(no_older_answer_elsewhere),
                                        T(an_outage),
                                        T(a_restart_goes_on),
-                                       T(every_job_is_known_after_the_troubles)};
+                                       T(every_job_is_known_after_the_troubles),
+                                       T(waiting_users_are_left_alone)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
