--- a/src/app/app.c
+++ b/src/app/app.c
@@ -1,13 +1,13 @@
 #include "app/app.h"
 #include "app/clock.h"
 #include "app/log.h"
+#include "app/thread.h"
 
 #include <errno.h>
 #include <malloc.h>
 #include <string.h>
 #include <time.h>
 
-#define STACK (256 * 1024)
 #define SPARE 32 /* threads and sockets for what ends just now, and libraries' own */
 
 void rr_app_wait(struct rr_app *a, pthread_cond_t *c, pthread_mutex_t *m, double seconds) {
@@ -88,13 +88,9 @@
 }
 
 static int run(struct rr_app *a, void *(*duty)(void *)) {
-    pthread_attr_t attr;
-    pthread_attr_init(&attr);
-    pthread_attr_setstacksize(&attr, STACK);
-    int rc = pthread_create(&a->threads[a->nthreads], &attr, duty, a);
-    pthread_attr_destroy(&attr);
+    int rc = rr_thread_start(&a->threads[a->nthreads], duty, a, false);
     a->nthreads += rc == 0;
-    return -rc;
+    return rc;
 }
 
 static void *(*const duties[])(void *) = {rr_duty_session,   rr_duty_watch,   rr_duty_term,
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -223,10 +223,9 @@
         malloc_trim(0);
     }
     rr_log(RR_INFO_LEVEL,
-           "last minute: %s; %d connections, %u machines (%u not heard), %u jobs open, %u tasks "
-           "placed, "
-           "%u waiting, so far %u moves, %u machines rented, %u given up or returned, %u leases "
-           "lost, %u notices",
+           "last minute: %s; %d connections, %u machines (%u not heard), %u jobs open, "
+           "%u tasks placed, %u waiting, so far %u moves, %u machines rented, "
+           "%u given up or returned, %u leases lost, %u notices",
            line, rr_door_open(a->door), st.machines, st.booting, st.jobs_open, st.tasks_placed,
            st.tasks_waiting, st.moves, st.hired, st.given_up, st.leases_lost, st.notices);
 }
--- /dev/null
+++ b/src/app/thread.h
@@ -0,0 +1,13 @@
+/* Threads as this process makes them: with small stacks, since there are many. */
+#ifndef RR_APP_THREAD_H
+#define RR_APP_THREAD_H
+
+#include <pthread.h>
+#include <stdbool.h>
+
+#define RR_STACK ((size_t)256 * 1024)
+
+/* 0 or -errno. A detached one needs no *t. */
+int rr_thread_start(pthread_t *t, void *(*fn)(void *), void *arg, bool detached);
+
+#endif
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -287,6 +287,17 @@
     }
 }
 
+void rr_arrivals_trim(rr_core *c, double wall) {
+    guint n = 0;
+    while (n < c->arrivals->len &&
+           wall - g_array_index(c->arrivals, rr_job *, n)->at > RR_ARRIVALS_S) {
+        n++;
+    }
+    if (n > 0) {
+        g_array_remove_range(c->arrivals, 0, n);
+    }
+}
+
 static void put_final(rr_job *j, const msgpack_object *v) {
     uint64_t pieces = 0;
     rr_get_u64(v, "pieces", &pieces);
@@ -786,10 +797,7 @@
 void rr_jobs_shrink(rr_core *c, double wall) {
     GHashTableIter it;
     gpointer v;
-    while (c->arrivals->len > 0 &&
-           wall - g_array_index(c->arrivals, rr_job *, 0)->at > RR_ARRIVALS_S) {
-        g_array_remove_index(c->arrivals, 0);
-    }
+    rr_arrivals_trim(c, wall);
     GHashTable *pinned = pinned_jobs(c);
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -295,6 +295,7 @@
 void rr_touch(rr_core *c, rr_machine *m); /* it is to be reconciled */
 void rr_page_key(uint32_t page, char *out, size_t size);
 bool rr_job_task_done(const rr_job *j, uint32_t task);
+void rr_arrivals_trim(rr_core *c, double wall); /* those that count no more go */
 /* A final job that is kept as a line only; *done and *ndone may be NULL. */
 bool rr_job_final(const rr_core *c, const char *ref, bool *done, uint32_t *ndone);
 /* Jobs are known for good, but final ones out of use shrink to a line. */
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -711,10 +711,7 @@
 static void demand_headroom(struct sim *s) {
     rr_core *c = s->c;
     double wall = s->wall;
-    while (c->arrivals->len > 0 &&
-           wall - g_array_index(c->arrivals, rr_job *, 0)->at > RR_ARRIVALS_S) {
-        g_array_remove_index(c->arrivals, 0);
-    }
+    rr_arrivals_trim(c, wall);
     double span = fmin(RR_ARRIVALS_S, fmax(60, wall - c->term.born));
     for (size_t i = 0; i < c->cfg->nobjectives; i++) {
         const struct rr_objective *o = &c->cfg->objectives[i];
--- a/src/http/door.c
+++ b/src/http/door.c
@@ -1,11 +1,11 @@
 #include "http/door.h"
 #include "app/clock.h"
 #include "app/log.h"
+#include "app/thread.h"
+#include "net/socket.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -13,10 +13,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define STACK (256 * 1024)
 /* For a request's head and the part of its body that is being read; the library touches all of it,
  * so that 24 KB of it were half of what a connection took. */
-#define CONNECTION_MEMORY (8 * 1024)
+#define CONNECTION_MEMORY ((size_t)8 * 1024)
 #define MEMORY_SHARE 0.65  /* of the process's limit that connections may take */
 #define CROWDED_SHARE 0.75 /* of the connections; the rest is for users and health checks */
 #define LISTENERS_MAX 8
@@ -170,20 +169,6 @@
     return atomic_load(&d->nlisteners);
 }
 
-static int bind_to(const struct rr_endpoint *e) {
-    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(e->port)};
-    int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    inet_pton(AF_INET, e->host, &a.sin_addr);
-    if (fd >= 0) {
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    }
-    if (fd >= 0 && bind(fd, (struct sockaddr *)&a, sizeof a) != 0) {
-        close(fd);
-        fd = -1;
-    }
-    return fd;
-}
-
 /* Takes the descriptor over. */
 static bool add_listener(rr_door *d, int fd, int most) {
     unsigned n = atomic_load(&d->nlisteners);
@@ -194,11 +179,10 @@
     l->owner = d;
     l->daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL,
-        NULL, on_request, d, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)STACK, MHD_OPTION_CONNECTION_LIMIT, (unsigned)most, MHD_OPTION_CONNECTION_TIMEOUT,
-        90u, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION,
-        on_connection, l, MHD_OPTION_END);
+        NULL, on_request, d, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_STACK_SIZE, RR_STACK,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)most, MHD_OPTION_CONNECTION_TIMEOUT, 90u,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, l, MHD_OPTION_END);
     atomic_fetch_add(&d->nlisteners, l->daemon != NULL);
     return l->daemon != NULL;
 }
@@ -254,7 +238,7 @@
     d->user = user;
     d->accepted = accepted;
     d->most = most;
-    d->fd = bind_to(&cfg->bind);
+    d->fd = rr_socket_bind(&cfg->bind, SOCK_NONBLOCK);
     if (d->fd < 0) {
         g_free(d);
         return NULL;
@@ -269,11 +253,7 @@
     if (!add_listener(d, d->fd, d->most)) {
         return -EAGAIN;
     }
-    pthread_attr_t attr;
-    pthread_attr_init(&attr);
-    pthread_attr_setstacksize(&attr, STACK);
-    d->watched = pthread_create(&d->watcher, &attr, watch, d) == 0;
-    pthread_attr_destroy(&attr);
+    d->watched = rr_thread_start(&d->watcher, watch, d, false) == 0;
     return 0;
 }
 
--- /dev/null
+++ b/src/net/socket.c
@@ -0,0 +1,30 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+void rr_sockaddr(const struct rr_endpoint *e, struct sockaddr_in *out) {
+    memset(out, 0, sizeof *out);
+    out->sin_family = AF_INET;
+    out->sin_port = htons(e->port);
+    inet_pton(AF_INET, e->host, &out->sin_addr);
+}
+
+int rr_socket_bind(const struct rr_endpoint *e, int flags) {
+    struct sockaddr_in a;
+    int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
+    if (fd < 0) {
+        return -errno;
+    }
+    rr_sockaddr(e, &a);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(fd, (struct sockaddr *)&a, sizeof a) != 0) {
+        int rc = -errno;
+        close(fd);
+        return rc;
+    }
+    return fd;
+}
--- /dev/null
+++ b/src/net/socket.h
@@ -0,0 +1,14 @@
+/* What listeners and links share of the sockets' interface. */
+#ifndef RR_NET_SOCKET_H
+#define RR_NET_SOCKET_H
+
+#include "core/config.h"
+
+#include <netinet/in.h>
+
+void rr_sockaddr(const struct rr_endpoint *e, struct sockaddr_in *out);
+/* A socket bound to the address, not listening yet; flags: of socket(), beside CLOEXEC. The
+ * descriptor, or -errno. */
+int rr_socket_bind(const struct rr_endpoint *e, int flags);
+
+#endif
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -1,13 +1,13 @@
 #include "peer/peer.h"
 #include "app/clock.h"
 #include "app/log.h"
+#include "app/thread.h"
 #include "app/usage.h"
+#include "net/socket.h"
 #include "peer/frame.h"
 #include "worker/worker.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
@@ -16,7 +16,6 @@
 #include <unistd.h>
 
 #define QUEUE_MAX 256
-#define STACK (256 * 1024)
 #define IDLE_S 20
 
 #define GATHER_SHARE 0.0125 /* of a report interval: what else comes goes with the same send */
@@ -87,17 +86,10 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 }
 
-static void to_sockaddr(const struct rr_endpoint *e, struct sockaddr_in *a) {
-    memset(a, 0, sizeof *a);
-    a->sin_family = AF_INET;
-    a->sin_port = htons(e->port);
-    inet_pton(AF_INET, e->host, &a->sin_addr);
-}
-
 /* Linux bounds a blocking connect() by the send timeout. */
 static int dial(const struct rr_endpoint *to, double timeout_s) {
     struct sockaddr_in a;
-    to_sockaddr(to, &a);
+    rr_sockaddr(to, &a);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (fd < 0) {
         return -errno;
@@ -653,17 +645,6 @@
     return NULL;
 }
 
-static int spawn(pthread_t *t, void *(*fn)(void *), void *arg, bool detached) {
-    pthread_attr_t a;
-    pthread_t local;
-    pthread_attr_init(&a);
-    pthread_attr_setstacksize(&a, STACK);
-    pthread_attr_setdetachstate(&a, detached ? PTHREAD_CREATE_DETACHED : PTHREAD_CREATE_JOINABLE);
-    int rc = pthread_create(t ? t : &local, &a, fn, arg);
-    pthread_attr_destroy(&a);
-    return -rc;
-}
-
 static void take_conn(rr_peers *p, int fd) {
     struct conn *c = g_new0(struct conn, 1);
     c->owner = p;
@@ -673,7 +654,7 @@
     bool ok = p->conns < RR_PEER_CONNS;
     p->conns += ok;
     pthread_mutex_unlock(&p->lock);
-    if (ok && spawn(NULL, conn_main, c, true) == 0) {
+    if (ok && rr_thread_start(NULL, conn_main, c, true) == 0) {
         return;
     }
     if (ok) {
@@ -811,32 +792,21 @@
     return p;
 }
 
-static int listen_on(const struct rr_endpoint *e) {
-    struct sockaddr_in a;
-    int one = 1;
-    to_sockaddr(e, &a);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+int rr_peers_start(rr_peers *p) {
+    int fd = rr_socket_bind(&p->cfg->peer_listen, 0);
     if (fd < 0) {
-        return -errno;
+        return fd;
     }
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    if (bind(fd, (struct sockaddr *)&a, sizeof a) != 0 || listen(fd, 64) != 0) {
+    if (listen(fd, 64) != 0) {
         int rc = -errno;
         close(fd);
         return rc;
     }
-    return fd;
-}
-
-int rr_peers_start(rr_peers *p) {
-    int fd = listen_on(&p->cfg->peer_listen);
-    if (fd < 0) {
-        return fd;
-    }
     p->listener = fd;
-    p->accepting = spawn(&p->acceptor, acceptor_main, p, false) == 0;
+    p->accepting = rr_thread_start(&p->acceptor, acceptor_main, p, false) == 0;
     for (size_t i = 0; i < p->cfg->npeers; i++) {
-        p->links[i].started = spawn(&p->links[i].thread, link_main, &p->links[i], false) == 0;
+        p->links[i].started =
+            rr_thread_start(&p->links[i].thread, link_main, &p->links[i], false) == 0;
     }
     return p->accepting ? 0 : -EAGAIN;
 }
