--- a/src/app/app.c
+++ b/src/app/app.c
@@ -95,12 +95,12 @@
 
 static void *(*const duties[])(void *) = {rr_duty_session,   rr_duty_watch,   rr_duty_term,
                                           rr_duty_committer, rr_duty_barrier, rr_duty_planner,
-                                          rr_duty_steward,   rr_duty_door};
+                                          rr_duty_steward};
 
-/* Beside the connections': main, the door's own two, the duties, the senders and the peers'
- * threads; and two sockets for each that calls out: a client keeps one and opens another. */
+/* Beside the connections': main, the door's own two and its opener, the duties, the senders and the
+ * peers' threads; and two sockets for each that calls out: a client keeps one and opens another. */
 int rr_app_connections(const struct rr_config *cfg) {
-    int threads = 3 + (int)G_N_ELEMENTS(duties) + cfg->tune.senders + 1 + (int)cfg->npeers +
+    int threads = 4 + (int)G_N_ELEMENTS(duties) + cfg->tune.senders + 1 + (int)cfg->npeers +
                   RR_PEER_CONNS + SPARE;
     return rr_door_limit(cfg, threads, 2 * threads);
 }
@@ -148,6 +148,10 @@
     for (int i = 0; rc == 0 && i < a->cfg.tune.senders; i++) {
         rc = run(a, i % 3 == 0 ? rr_duty_sender : rr_duty_slow_sender);
     }
+    if (rc == 0) {
+        rc = rr_thread_start(&a->opener, rr_duty_door, a, false);
+        a->opening = rc == 0;
+    }
     if (rc == 0) {
         return 0;
     }
@@ -171,6 +175,9 @@
     pthread_cond_broadcast(&a->barrier[0].done);
     pthread_cond_broadcast(&a->barrier[1].done);
     pthread_mutex_unlock(&a->user_lock);
+    if (a->opening) {
+        pthread_join(a->opener, NULL); /* it may be about to listen */
+    }
     rr_door_stop(a->door); /* joins the connections' threads, which wait on the duties at most */
     for (int i = 0; i < a->nthreads; i++) {
         pthread_join(a->threads[i], NULL);
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -13,6 +13,7 @@
 struct rr_app {
     struct rr_config cfg;
     atomic_bool stop;
+    atomic_int lag_ms; /* how late pauses have ended lately: 0 with time enough */
 
     /* The core and everything below, down to the next blank line, is under `lock`. No I/O under it.
      */
@@ -52,8 +53,9 @@
     rr_stats *stats;
     rr_peers *peers;
     rr_door *door;
-    pthread_t threads[160];
+    pthread_t threads[160], opener; /* opener: opens the door, and ends */
     int nthreads;
+    bool opening;
 };
 
 #define RR_ACCEPT_S 1.5 /* a new job waits for its transaction this long at most */
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -21,10 +21,14 @@
 
 /* The process has less processor time than it has work for. What it hears is old by then, and what
  * it waits for has perhaps come and not been read. */
-static void note_late(struct rr_app *a, double now) {
-    pthread_mutex_lock(&a->lock);
-    rr_core_set_late(a->core, now);
-    pthread_mutex_unlock(&a->lock);
+static void note_late(struct rr_app *a, double now, double late) {
+    int lag = (3 * atomic_load(&a->lag_ms) + (int)(1000 * late)) / 4;
+    atomic_store(&a->lag_ms, lag);
+    if (late > LATE_S) {
+        pthread_mutex_lock(&a->lock);
+        rr_core_set_late(a->core, now);
+        pthread_mutex_unlock(&a->lock);
+    }
 }
 
 static void pause_for(struct rr_app *a, double seconds) {
@@ -32,9 +36,7 @@
         double s = seconds < 0.5 ? seconds : 0.5, began = rr_now();
         rr_sleep(s);
         double now = rr_now();
-        if (now - began > s + LATE_S) {
-            note_late(a, now);
-        }
+        note_late(a, now, now - began - s);
         seconds -= s;
     }
 }
@@ -735,7 +737,9 @@
 #define FEW_S 0.3
 #define PAUSE_SHARE 0.0125 /* of a report interval, as links gather: news comes no faster */
 #define PAUSE_FACTOR 12    /* a plan's time goes into the pause after it so many times, */
-#define PAUSE_MAX_S 0.25   /* up to this: under load planning takes a bounded share */
+#define LAG_FACTOR 4
+#define LAG_PAUSE_S 1.0
+#define PAUSE_MAX_S 0.25 /* up to this: under load planning takes a bounded share */
 
 void *rr_duty_planner(void *app) {
     struct rr_app *a = app;
@@ -778,7 +782,9 @@
         }
         rr_plan_clear(&p);
         tell_suspects(a, &told);
-        pause_for(a, fmax(least, pause));
+        /* Behind with its work it plans less: reports and commands come before it. */
+        double lag = fmin(LAG_FACTOR * atomic_load(&a->lag_ms) / 1000.0, LAG_PAUSE_S);
+        pause_for(a, fmax(least, fmax(pause, lag)));
     }
     rr_store_destroy(s);
     rr_usage_leave();
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define QUEUE_MAX 256 /* submissions that wait for the store at most */
+#define LAG_MS 1000   /* pauses late by more: nobody waits as long for what is asked now */
 #define BARRIER_S 1.6 /* a poll's user waits for 2 s */
 
 static void refuse(struct rr_response *rs, int status, const char *why, int retry_after_s) {
@@ -162,7 +163,12 @@
 
 static void submit(struct rr_app *a, const struct rr_request *rq, struct rr_response *rs) {
     double began = rr_now();
-    decide_submission(a, rq, rs);
+    /* New work is what goes first when there is too little time: told before a byte is decoded. */
+    if (atomic_load(&a->lag_ms) > LAG_MS) {
+        refuse(rs, 503, "overloaded", 2);
+    } else {
+        decide_submission(a, rq, rs);
+    }
     double took = rr_now() - began;
     rr_stats_submission(a->stats, rs->status, took);
     if (rs->status >= 500 || took > 0.15) {
