--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -3,6 +3,8 @@
  * event fails these on any machine. Then that no one's work waits for ever behind another's. */
 #include "fakes.h"
 
+#include <malloc.h>
+#include <stdio.h>
 #include <string.h>
 
 #define FLEET 2300
@@ -96,6 +98,73 @@
     rr_plan_clear(&p);
 }
 
+/* The most frequent event of all, a report that says what the one before said, is followed by no
+ * look at any machine, no change and no command. */
+static void a_sign_of_life_costs_nothing(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    fx_fleet(n, 1, FLEET, "a");
+    settle(n);
+    unsigned before = visits(n);
+    for (uint64_t tally = 2; tally < 6; tally++) {
+        report_all(n, 1, FLEET, "a", 1, tally);
+        fx_plan(n, &p);
+        assert_false(p.has_txn);
+        assert_int_equal(p.dos->len, 0);
+        rr_plan_clear(&p);
+    }
+    assert_int_equal(visits(n), before);
+}
+
+/* A new term looks at each machine once, and the plan after it at none. */
+static void a_term_looks_at_each_machine_once(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan p;
+    fx_fleet(n, 1, FLEET, "a");
+    settle(n);
+    fx_join(n, 9);
+    unsigned before = visits(n);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(visits(n) - before >= FLEET);
+    assert_true(visits(n) - before <= FLEET + 4);
+    before = visits(n);
+    fx_plan(n, &p);
+    rr_plan_clear(&p);
+    assert_true(visits(n) - before <= 4);
+}
+
+static size_t held(void) {
+    struct mallinfo2 m = mallinfo2();
+    return m.uordblks + m.hblkhd;
+}
+
+/* What the sizing in docs/operations.md counts with. The sanitizers' allocators tell nothing. */
+static void memory_by_machine_and_placement(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    const int jobs = 500;
+    size_t before = held();
+    fx_fleet(n, 1, FLEET, "a");
+    size_t machine = (held() - before) / FLEET;
+    settle(n);
+    before = held();
+    submit_many(n, 1, jobs, &(struct fx_job){.pieces = 4, .cpu = 4, .service = true});
+    settle(n);
+    size_t job = (held() - before) / jobs;
+    assert_int_equal(fx_placed(w->store, "req-000001"), 4);
+    printf("%zu bytes a machine, %zu a job of four replicas\n", machine, job);
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    assert_in_range(machine, 500, 4096);
+    assert_in_range(job, 500, 4096);
+#else
+    (void)machine;
+    (void)job;
+#endif
+}
+
 /* An array is booked with one change, what ends together is recorded with one, and its end with
  * two, however many machines it ran on. */
 static void an_array_costs_a_few_changes(void **state) {
@@ -529,6 +598,9 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {T(a_plan_costs_what_changed),
+                                       T(a_sign_of_life_costs_nothing),
+                                       T(a_term_looks_at_each_machine_once),
+                                       T(memory_by_machine_and_placement),
                                        T(an_array_costs_a_few_changes),
                                        T(completions_gather_when_changes_are_short),
                                        T(waiting_jobs_share_a_search),
