--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -246,6 +246,30 @@
     }
 }
 
+/* Far behind with its work a controller refuses new jobs at once, and nothing else: what was
+ * accepted is told and cancelled, and health checks are answered. Then it catches up by itself. */
+static void behind_it_sheds_new_work_first(void **state) {
+    struct service *s = *state;
+    char got[32];
+    assert_int_equal(submit(s->app, "req-500040", 1, true), 201);
+    wait_standing(s->app, "req-500040", "running");
+    atomic_store(&s->app->lag_ms, 1000000);
+    double began = rr_now();
+    assert_int_equal(submit(s->app, "req-500041", 1, true), 503);
+    assert_true(rr_now() - began < 1);
+    atomic_store(&s->app->lag_ms, 1000000);
+    assert_string_equal(poll_standing(s->app, "req-500040", got, sizeof got), "running");
+    assert_int_equal(world_call(&s->app->cfg, "GET", "/ready", NULL, 0, NULL), 200);
+    atomic_store(&s->app->lag_ms, 1000000);
+    assert_int_equal(cancel(s->app, "req-500040"), 200);
+    double until = rr_now() + 60;
+    while (submit(s->app, "req-500041", 1, true) == 503) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+    wait_standing(s->app, "req-500041", "running");
+}
+
 #define WAITERS 24
 
 /* How often each of the process's threads has gone to sleep so far, by its number in the system. */
@@ -330,7 +354,8 @@
                                        T(an_outage),
                                        T(a_restart_goes_on),
                                        T(every_job_is_known_after_the_troubles),
-                                       T(waiting_users_are_left_alone)};
+                                       T(waiting_users_are_left_alone),
+                                       T(behind_it_sheds_new_work_first)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
