--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -830,8 +830,7 @@
             h = (rr_heard){.tenure = r.tenure, .tally = r.tally, .hash = rr_report_hash(&r)};
             g_strlcpy(h.stone, r.stone, sizeof h.stone);
             pthread_mutex_lock(&a->lock);
-            rr_core_report(a->core, rr_now(), &r, via);
-            rr_core_vouch(a->core, rr_now(), &h);
+            share = rr_core_take_answer(a->core, rr_now(), &r, via) && share;
             wanted = rr_core_wanted_by(a->core, h.stone, &rare);
             pthread_mutex_unlock(&a->lock);
         }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -92,6 +92,9 @@
 /* Takes over the report's content. via: index of the peer that heard it, -1: this controller. What
  * it was: nothing new, only a sign of life, or news. */
 enum rr_news rr_core_report(rr_core *c, double now, rr_report *r, int via);
+/* Takes over the answer to a command or probe, and vouches for the machine. True: the machine has
+ * lately reported by itself, so that others may take this for a report. */
+bool rr_core_take_answer(rr_core *c, double now, rr_report *r, int via);
 /* The machine has just answered this process: it is not known from late copies alone. */
 void rr_core_vouch(rr_core *c, double now, const rr_heard *h);
 /* A peer has just said something on its link to us. */
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -125,6 +125,7 @@
     rr_report rep; /* newest */
     uint64_t rep_hash;
     double heard_at, known_at, direct_bad_until;
+    double reported_at; /* by itself, to whatever controller: not in answer to a command */
     int via;
     GArray *casts;    /* int: images it has, oldest first */
     GArray *err_jobs; /* rr_job*: jobs that failed here */
@@ -324,7 +325,9 @@
 /* A number that no other attempt has, of whatever controller and term; later ones are higher within
  * a team. */
 uint64_t rr_next_attempt(rr_core *c);
-guint rr_term_place(const rr_core *c); /* this controller's place in the term */
+uint64_t rr_attempt_token(uint64_t attempt); /* of the term in which it was booked */
+guint rr_attempt_place(uint64_t attempt);    /* and the place there of who booked it */
+guint rr_term_place(const rr_core *c);       /* this controller's place in the term */
 bool rr_owns_team(const rr_core *c, int team);
 void rr_term_assign(rr_core *c); /* finds owners and steward of a new term */
 
@@ -333,7 +336,8 @@
 bool rr_machine_fresh(const rr_core *c, const rr_machine *m, double now);
 bool rr_machine_usable(const rr_core *c, const rr_machine *m, double now);
 bool rr_machine_reborn(const rr_machine *m, double now); /* another one under its name */
-bool rr_machine_sick(const rr_machine *m);
+bool rr_machine_sick(const rr_machine *m, double now);
+bool rr_machine_mute(const rr_core *c, const rr_machine *m, double now);
 bool rr_machine_doubtful(const rr_machine *m, double now); /* failed a task not long ago */
 void rr_note_error(rr_core *c, rr_machine *m, rr_job *j, double now);
 /* To be called before machines are judged: counts who is heard in each zone and keeps when each was
@@ -341,6 +345,8 @@
 void rr_note_cuts(rr_core *c, double now);
 bool rr_zone_silent(const rr_core *c, int ward); /* most of it, at the last count */
 void rr_contact_heard(rr_contact *k, double now);
+/* Every other controller of the term has been heard without a pause for so long. */
+bool rr_peers_last(const rr_core *c, double now, double seconds);
 bool rr_machine_deaf(const rr_machine *m); /* reports, but commands get no answer */
 bool rr_machine_dead(const rr_core *c, const rr_machine *m, double now);
 double rr_silent_for(const rr_machine *m, double now);
--- a/src/core/probes.c
+++ b/src/core/probes.c
@@ -15,8 +15,11 @@
     return x->probed_at < y->probed_at ? -1 : x->probed_at > y->probed_at;
 }
 
-/* Whose silence is ours to look into: the steward's all, an owner's those with its work. */
+/* Whose silence is ours to look into: the steward's all, an owner's those with its work, and those
+ * that it doubts itself: only an answer to it ends that, and one that had lost its work there never
+ * sent another command and left the machine out for good. */
 static bool concerns_us(const rr_core *c, const rr_machine *m, bool steward) {
+    steward = steward || rr_machine_deaf(m);
     for (guint i = 0; !steward && i < m->places->len; i++) {
         const rr_job *j = g_array_index(m->places, rr_place, i).job;
         if (j->team >= 0 && rr_owns_team(c, j->team)) {
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -159,7 +159,7 @@
     m->rep_hash = hash;
     r->pieces = NULL;
     m->heard = true;
-    m->heard_at = now;
+    m->heard_at = m->reported_at = now;
     m->probe_fails = 0;
     m->stale_answers = 0;
     m->via = via;
@@ -192,6 +192,23 @@
     }
 }
 
+#define ITSELF_REPORTS 1.5
+
+/* It shows the machine as a report does, but says nothing of whether its own reports arrive. */
+bool rr_core_take_answer(rr_core *c, double now, rr_report *r, int via) {
+    rr_heard h = {.tenure = r->tenure, .tally = r->tally};
+    g_strlcpy(h.stone, r->stone, sizeof h.stone);
+    const rr_machine *known = g_hash_table_lookup(c->machines, r->stone);
+    double reported = known && known->heard ? known->reported_at : now;
+    rr_core_report(c, now, r, via);
+    rr_core_vouch(c, now, &h);
+    rr_machine *m = g_hash_table_lookup(c->machines, h.stone);
+    if (m) {
+        m->reported_at = reported;
+    }
+    return now - reported < ITSELF_REPORTS * c->cfg->report_s;
+}
+
 bool rr_machine_reborn(const rr_machine *m, double now) {
     return m->stale_answers >= 3 && now - m->stale_at > 2;
 }
@@ -202,7 +219,7 @@
         return false;
     }
     m->vouched = m->vouched || now - m->heard_at > SECOND_S;
-    m->heard_at = now;
+    m->heard_at = m->reported_at = now;
     m->probe_fails = 0;
     m->via = via;
     if (m->rep_hash == h->hash) {
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -417,7 +417,7 @@
     if (!m->heard && wall - m->born > 4 * boot + 30 && empty && now - c->steward_since > 2 * boot) {
         return "never came up";
     }
-    if (rr_machine_sick(m) && empty) {
+    if (rr_machine_sick(m, now) && empty) {
         return "sick: tasks of several jobs failed";
     }
     return NULL;
@@ -472,7 +472,8 @@
         return now - m->known_at < c->cfg->tune.boot_patience * b->startup_s + 5;
     }
     return rr_machine_usable(c, m, now) ||
-           (rr_machine_fresh(c, m, now) && m->rep.recall_s < 0 && !rr_machine_sick(m));
+           (rr_machine_fresh(c, m, now) && m->rep.recall_s < 0 && !rr_machine_sick(m, now) &&
+            !rr_machine_mute(c, m, now));
 }
 
 /* One simulation: what waits is put on paper onto the machines there are, then onto machines to
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -43,6 +43,14 @@
     return c->term.token << 32 | (uint64_t)rr_term_place(c) << 24 | (++c->counter & 0xffffff);
 }
 
+uint64_t rr_attempt_token(uint64_t attempt) {
+    return attempt >> 32;
+}
+
+guint rr_attempt_place(uint64_t attempt) {
+    return (guint)(attempt >> 24 & 0xff);
+}
+
 guint rr_term_place(const rr_core *c) {
     return c->place < 0 ? 0 : (guint)c->place;
 }
--- a/src/core/troubles.c
+++ b/src/core/troubles.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define ERR_WINDOW_S 150.0
+#define SICK_S 60.0 /* since its last failure; jobs may wait 90 s in all */
 
 double rr_silent_for(const rr_machine *m, double now) {
     return m->heard ? now - m->heard_at : now - m->known_at;
@@ -22,11 +23,21 @@
     return m->heard && now - m->heard_at <= c->cfg->tune.silent_reports * c->cfg->report_s;
 }
 
+#define MUTE_REPORTS 2.5
+
+/* Its reports reach no controller, though it answers commands: those renew no lease, so that
+ * whatever starts there is lost within one. Only said while every controller of the term has been
+ * heard for as long: otherwise it may well report to one that we don't hear. */
+bool rr_machine_mute(const rr_core *c, const rr_machine *m, double now) {
+    double limit = MUTE_REPORTS * c->cfg->report_s;
+    return m->heard && now - m->reported_at > limit && rr_peers_last(c, now, limit);
+}
+
 /* DESIGN's risk: a cut zone keeps stale reports, so only a fresh one makes room count. */
 bool rr_machine_usable(const rr_core *c, const rr_machine *m, double now) {
     return m->recorded && !m->ret && m->addr[0] && m->vouched && rr_machine_fresh(c, m, now) &&
-           m->rep.recall_s < 0 && now >= m->full_until && !rr_machine_sick(m) && !m->give_up &&
-           !rr_machine_deaf(m);
+           m->rep.recall_s < 0 && now >= m->full_until && !rr_machine_sick(m, now) && !m->give_up &&
+           !rr_machine_deaf(m) && !rr_machine_mute(c, m, now);
 }
 
 /* Its reports may go on arriving while answers and commands no longer reach it: it looks fresh,
@@ -46,8 +57,10 @@
     return n;
 }
 
-bool rr_machine_sick(const rr_machine *m) {
-    return credible_errors(m) >= 2;
+/* What failed there a while ago says little of the next task: one is tried again then. A machine
+ * that could not be given back stayed out for good, though its fault was long over. */
+bool rr_machine_sick(const rr_machine *m, double now) {
+    return m->err_at > 0 && now - m->err_at < SICK_S && credible_errors(m) >= 2;
 }
 
 bool rr_machine_doubtful(const rr_machine *m, double now) {
@@ -164,6 +177,14 @@
     return k->at > 0 && now - k->at < PAUSE_S && now - k->since >= seconds;
 }
 
+bool rr_peers_last(const rr_core *c, double now, double seconds) {
+    bool all = now - c->woke_at >= seconds;
+    for (guint i = 0; i < c->term.nodes->len && i < RR_MAX_NODES; i++) {
+        all = all && (c->peer_at[i] < 0 || lasting(&c->peers[c->peer_at[i]], now, seconds));
+    }
+    return all;
+}
+
 /* A controller of the zone has been heard for as long as a machine would be given to report: the
  * zone is not cut off from us. Ourselves count while workers report to us: we may have lost them.
  */
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -48,6 +48,10 @@
     return v ? v->mark : 0;
 }
 
+uint64_t fx_log_mark(const fx_store *s, guint i) {
+    return ((const struct fx_change *)g_ptr_array_index(s->log, i))->mark;
+}
+
 unsigned fx_count(const fx_store *s, const char *prefix) {
     GHashTableIter it;
     gpointer k;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -27,6 +27,7 @@
 /* A full read in key order, as a controller makes that has just started. */
 void fx_reread(fx_store *s, rr_core *c, double now);
 uint64_t fx_mark(const fx_store *s, const char *key); /* 0: no such key */
+uint64_t fx_log_mark(const fx_store *s, guint i);     /* revision of the i-th change ever made */
 unsigned fx_count(const fx_store *s, const char *prefix);
 void fx_put(fx_store *s, const char *key, rr_out *o);   /* writes, whatever is there */
 unsigned fx_placed(const fx_store *s, const char *ref); /* bookings of a job in the ledger */
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -168,6 +168,137 @@
     stop_app(b);
 }
 
+static bool told(const char *got, const char *want) {
+    return got[0] == 0 || strcmp(got, want) == 0; /* "can't tell now" is no older answer */
+}
+
+/* Users ask at all nodes, again and again within milliseconds, and submit once more, right after a
+ * job was accepted, cancelled or done: nobody answers something older than was told. */
+static void close_looks(void **state) {
+    struct service *s = *state;
+    struct rr_app *b = start_app(s->w, "n1"), *apps[2] = {s->app, b};
+    char ref[32], got[32];
+    wait_ready(b);
+    for (int i = 0; i < 12; i++) {
+        struct rr_app *to = apps[i % 2], *elsewhere = apps[(i + 1) % 2];
+        g_snprintf(ref, sizeof ref, "req-%06d", 600001 + i);
+        assert_int_equal(submit(to, ref, 2, true), 201);
+        for (int k = 0; k < 4; k++) {
+            poll_standing(apps[k % 2 == 0 ? (i + 1) % 2 : i % 2], ref, got, sizeof got);
+            assert_true(told(got, "queued") || told(got, "running"));
+        }
+        int again = submit(elsewhere, ref, 2, true);
+        assert_true(again == 200 || again == 201 || again == 503);
+        assert_int_equal(cancel(elsewhere, ref), 200);
+        for (int k = 0; k < 4; k++) {
+            assert_true(told(poll_standing(apps[k % 2], ref, got, sizeof got), "aborted"));
+        }
+        again = submit(to, ref, 2, true);
+        assert_true(again == 200 || again == 503);
+        assert_true(told(poll_standing(to, ref, got, sizeof got), "aborted"));
+    }
+    assert_int_equal(submit(s->app, "req-600100", 1, false), 201);
+    while (strcmp(poll_standing(b, "req-600100", got, sizeof got), "done") != 0) {
+    }
+    for (int k = 0; k < 4; k++) {
+        assert_true(told(poll_standing(apps[k % 2], "req-600100", got, sizeof got), "done"));
+        assert_int_equal(cancel(apps[k % 2], "req-600100"), 200);
+    }
+    stop_app(b);
+}
+
+/* A cancellation is carried out at once and only its answer is lost, while the other node reads
+ * what it wrote and tells its user: from then on the first one says the same, or that it can't
+ * tell. */
+static void a_lost_answer_while_others_read(void **state) {
+    struct service *s = *state;
+    struct rr_app *b = start_app(s->w, "n1");
+    char ref[32], got[32];
+    wait_ready(b);
+    for (int i = 0; i < 4; i++) {
+        g_snprintf(ref, sizeof ref, "req-%06d", 610001 + i);
+        assert_int_equal(submit(b, ref, 1, true), 201);
+        wait_standing(s->app, ref, "running");
+        world_drop_next_answer(s->w);
+        int status = cancel(i % 2 ? b : s->app, ref);
+        assert_true(status == 200 || status == 503);
+        double until = rr_now() + 10;
+        while (cancel(b, ref) != 200) {
+            assert_true(rr_now() < until);
+        }
+        assert_true(told(poll_standing(s->app, ref, got, sizeof got), "aborted"));
+        assert_true(told(poll_standing(b, ref, got, sizeof got), "aborted"));
+    }
+    stop_app(b);
+}
+
+/* A submission with one field left out. */
+static int submit_without(const struct rr_app *a, const char *ref, const char *left_out,
+                          double cards) {
+    static const char *const nums[] = {"vcpus",   "cards",   "mem_gb", "pull_gb",
+                                       "guess_s", "cairn_s", "stash_s"};
+    static const char *const texts[][2] = {
+        {"lane", "plain"}, {"crew", "red"}, {"cast", "img-1"}, {"shape", "batch"}, {"rank", "low"}};
+    static const char *const flags[] = {"one_zone", "apart", "loaners"};
+    rr_out o;
+    rr_out_init(&o);
+    rr_put_map(&o, 17 - (left_out != NULL));
+    if (!left_out || strcmp(left_out, "ref") != 0) {
+        rr_put_key_text(&o, "ref", ref);
+    }
+    if (!left_out || strcmp(left_out, "pieces") != 0) {
+        rr_put_key_u64(&o, "pieces", 1);
+    }
+    for (int i = 0; i < 7; i++) {
+        if (!left_out || strcmp(left_out, nums[i]) != 0) {
+            rr_put_key_num(&o, nums[i], strcmp(nums[i], "cards") == 0 ? cards : 1);
+        }
+    }
+    for (int i = 0; i < 5; i++) {
+        if (!left_out || strcmp(left_out, texts[i][0]) != 0) {
+            rr_put_key_text(&o, texts[i][0], texts[i][1]);
+        }
+    }
+    for (int i = 0; i < 3; i++) {
+        if (!left_out || strcmp(left_out, flags[i]) != 0) {
+            rr_put_key_bool(&o, flags[i], false);
+        }
+    }
+    int status = world_call(&a->cfg, "POST", "/submissions", o.buf.data, o.buf.size, NULL);
+    rr_out_clear(&o);
+    return status;
+}
+
+/* Odd requests: a repeat of an unfinished job, also a malformed one; cancelling what is done or
+ * what nobody submitted; jobs that fit no machine or lack a field, each of them. While the state
+ * service is away 400 is said where nothing depends on it, and the rest is 503. */
+static void odd_requests(void **state) {
+    struct service *s = *state;
+    static const char *const fields[] = {"lane",    "crew",    "cast",     "shape",  "rank",
+                                         "pieces",  "vcpus",   "cards",    "mem_gb", "pull_gb",
+                                         "guess_s", "cairn_s", "one_zone", "apart",  "loaners",
+                                         "stash_s", "ref"};
+    assert_int_equal(submit(s->app, "req-620001", 1, true), 201);
+    assert_int_equal(submit(s->app, "req-620001", 1, true), 200);
+    assert_int_equal(submit_without(s->app, "req-620001", "rank", 0), 200);
+    assert_int_equal(submit_without(s->app, "req-620001", NULL, 1e6), 200);
+    assert_int_equal(submit_without(s->app, "req-620002", NULL, 1e6), 422);
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        assert_int_equal(submit_without(s->app, "req-620003", fields[i], 0), 400);
+    }
+    assert_int_equal(cancel(s->app, "req-620003"), 404);
+    assert_int_equal(submit_without(s->app, "req-620004", NULL, 0), 201);
+    wait_standing(s->app, "req-620004", "done");
+    assert_int_equal(cancel(s->app, "req-620004"), 200);
+    wait_standing(s->app, "req-620004", "done");
+    world_store_down(s->w, true);
+    assert_int_equal(submit_without(s->app, "req-620003", "ref", 0), 400);
+    assert_int_equal(submit_without(s->app, "req-620003", "rank", 0), 503);
+    assert_int_equal(submit_without(s->app, "req-620004", "rank", 0), 200);
+    assert_int_equal(cancel(s->app, "req-620003"), 503);
+    world_store_down(s->w, false);
+}
+
 /* While the state service is down nothing is promised, and what was final is still told. */
 static void an_outage(void **state) {
     struct service *s = *state;
@@ -351,6 +482,9 @@
                                        T(bad_requests),
                                        T(an_unanswered_commit),
                                        T(no_older_answer_elsewhere),
+                                       T(close_looks),
+                                       T(a_lost_answer_while_others_read),
+                                       T(odd_requests),
                                        T(an_outage),
                                        T(a_restart_goes_on),
                                        T(every_job_is_known_after_the_troubles),
