--- a/src/app/app.c
+++ b/src/app/app.c
@@ -130,6 +130,7 @@
     rr_core_set_log(a->core, rr_log_line, rr_log_level());
     a->stats = rr_stats_create();
     a->budget = rr_budget_create(a->cfg.state_rps, a->cfg.state_write_rps);
+    rr_budget_next(a->budget, a->cfg.next_rps, a->cfg.next_write_rps);
     a->peers = rr_peers_create(&a->cfg, &ev, &a->stop);
     int rc = rr_peers_start(a->peers);
     if (rc != 0) {
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -45,6 +45,15 @@
     return rr_store_create(&a->cfg.state, a->budget, &a->stop);
 }
 
+/* A valid transaction was called invalid: the state service's lower limits hold. */
+static void limits_lowered(struct rr_app *a, bool in_doubt) {
+    rr_budget_lower(a->budget);
+    pthread_mutex_lock(&a->lock);
+    rr_core_limits_lowered(a->core, in_doubt);
+    pthread_cond_broadcast(&a->mirrored);
+    pthread_mutex_unlock(&a->lock);
+}
+
 /* Until the outcome is certain. An unanswered transaction may still be carried out late, and a task
  * placed anew meanwhile would then stand in the ledger twice. The same transaction sent again
  * settles it: its guards hold at most once, since it changes the keys that it guards. */
@@ -56,6 +65,10 @@
         if (rc == RR_COMMITTED || rc == RR_CONFLICT || rc == RR_NO_LEASE) {
             return rc;
         }
+        if (rc == RR_INVALID) {
+            limits_lowered(a, doubted);
+            return rc;
+        }
         if (stopping(a) || (rc == RR_REFUSED && !doubted)) {
             return rc;
         }
@@ -466,11 +479,11 @@
 
 /* False: it does not fit any more. */
 static bool batch_add(const struct rr_config *cfg, struct batch *b, struct rr_user_commit *u) {
-    size_t size = json_size(u), most = (size_t)(cfg->value_kb * 1024) - 64;
+    size_t size = json_size(u), most = (size_t)(rr_value_kb(cfg) * 1024) - 64;
     bool joins = u->accepts && b->open > 0 && b->open + size <= most;
     guint records = b->records + !joins;
-    if (b->n == RR_BATCH_MAX || records > (guint)cfg->txn_ops || b->bytes + size > BATCH_BYTES ||
-        b->n + 1 + records > 4 * (guint)cfg->txn_ops) {
+    if (b->n == RR_BATCH_MAX || records > (guint)rr_txn_ops(cfg) || b->bytes + size > BATCH_BYTES ||
+        b->n + 1 + records > 4 * (guint)rr_txn_ops(cfg)) {
         return b->n == 0;
     }
     b->open = joins ? b->open + size : u->accepts ? size : b->open;
@@ -578,7 +591,8 @@
         u->doubted = u->doubted || rc == RR_DOUBT;
         /* A conflict names its keys; the others of the batch go again. */
         bool again = rc == RR_CONFLICT && n > 1 && !listed(failed, u->key);
-        again = again || ((rc == RR_REFUSED || rc == RR_DOUBT) && now < u->until);
+        again =
+            again || ((rc == RR_REFUSED || rc == RR_INVALID || rc == RR_DOUBT) && now < u->until);
         if (again && !stopping(a)) {
             g_queue_push_tail(&a->commits, u);
         } else {
@@ -614,7 +628,7 @@
         pthread_mutex_unlock(&a->lock);
         settle(a, b.entries, b.n, rc, epoch, failed, rr_now() - began);
         g_ptr_array_free(failed, TRUE);
-        if (rc == RR_REFUSED || rc == RR_DOUBT) {
+        if (rc == RR_REFUSED || rc == RR_INVALID || rc == RR_DOUBT) {
             pause_for(a, 0.1);
         }
     }
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -112,7 +112,7 @@
     rr_out_init(&u.value);
     rr_core_job_encode(&u.value, s, rr_wall(), false);
     /* The store counts JSON, which is longer than what is packed here. */
-    if (1.4 * (double)u.value.buf.size > a->cfg.value_kb * 1024) {
+    if (1.4 * (double)u.value.buf.size > rr_value_kb(&a->cfg) * 1024) {
         refuse(rs, 400, "too large", 0);
     } else if (!commit_for_user(a, &u)) {
         refuse(rs, 503, "overloaded", 2);
--- a/src/app/toml.cpp
+++ b/src/app/toml.cpp
@@ -58,6 +58,11 @@
     return 0;
 }
 
+extern "C" int rr_toml_table(const rr_toml *t, const char *path) {
+    const auto node = t->root.at_path(path);
+    return !node ? -ENOENT : node.is_table() ? 0 : -EINVAL;
+}
+
 extern "C" int rr_toml_count(const rr_toml *t, const char *path) {
     const auto node = t->root.at_path(path);
     if (!node) {
--- a/src/app/toml.h
+++ b/src/app/toml.h
@@ -17,6 +17,7 @@
 int rr_toml_text(const rr_toml *t, const char *path, char *out, size_t size);
 int rr_toml_num(const rr_toml *t, const char *path, double *out);
 /* Number of tables in an array of tables; 0 if missing, -EINVAL if it is something else. */
+int rr_toml_table(const rr_toml *t, const char *path); /* 0, -ENOENT, or -EINVAL: something else */
 int rr_toml_count(const rr_toml *t, const char *path);
 
 #ifdef __cplusplus
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -70,12 +70,27 @@
     double report_s, lease_s, cancel_s;
     double state_rps, state_write_rps, value_kb;
     int txn_ops;
+    /* The limits that the state service will have from some moment on, without notice; 0 or the
+     * same as above where the settings name none. */
+    double next_rps, next_write_rps, next_value_kb;
+    int next_txn_ops;
     double cloud_rps, list_lag_s;
     double core_share, ram_mb;
     int max_sockets;
     struct rr_tuning tune;
 };
 
+/* What is written obeys the smaller of the state service's limits from the first write on: what is
+ * larger could not be written again once they are lowered. How a job's tasks are parted over the
+ * records of its ledger follows the present limit, in every version alike. */
+static inline double rr_value_kb(const struct rr_config *c) {
+    return c->next_value_kb > 0 && c->next_value_kb < c->value_kb ? c->next_value_kb : c->value_kb;
+}
+
+static inline int rr_txn_ops(const struct rr_config *c) {
+    return c->next_txn_ops > 0 && c->next_txn_ops < c->txn_ops ? c->next_txn_ops : c->txn_ops;
+}
+
 /* The lease of a session: short, so that another takes over soon from one that has lost the state
  * service; longer than an ordinary restart takes. */
 static inline double rr_session_s(const struct rr_config *c) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -24,6 +24,11 @@
  * of them; and no plan waits for its changes, since others book the same room meanwhile. */
 void rr_core_set_pressure(rr_core *c, double pressure, int changes);
 
+/* The state service has refused a valid transaction: its lower limits hold from here on. in_doubt:
+ * an earlier copy of it went unanswered and may be carried out yet. A new term voids it, as every
+ * plan is guarded by the term's record. */
+void rr_core_limits_lowered(rr_core *c, bool in_doubt);
+
 /* ---- the mirror of the state service ---- */
 /* A full reread starts: keys not seen again will go. Until it ends nothing is decided. */
 void rr_core_mirror_begin(rr_core *c);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -153,6 +153,7 @@
     }
     p->mark = mark;
     p->keep = true;
+    p->entries = list->via.array.size;
     c->next_page = id >= c->next_page ? id + 1 : c->next_page;
     for (guint i = 0; i < c->machine_list->len; i++) {
         rr_machine *m = g_ptr_array_index(c->machine_list, i);
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -114,7 +114,7 @@
     c->pages = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     c->batches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, batch_free);
     c->next_page = 1;
-    c->changes = cfg->txn_ops;
+    c->changes = rr_txn_ops(cfg);
     c->zones = g_array_new(FALSE, TRUE, sizeof(rr_zone_count));
     c->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->sessions = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -880,6 +880,7 @@
     c->term.mark = mark;
     if (token != c->term.token) {
         c->counter = 0;
+        c->anew = false;
     }
     c->term.token = token;
     rr_get_num(v, "born", &c->term.born);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -60,7 +60,8 @@
 typedef struct {
     uint32_t id;
     uint64_t mark;
-    size_t bytes; /* their size, roughly */
+    size_t bytes;  /* their size, roughly */
+    guint entries; /* in the record; one that moved to another page may still be among them */
     bool keep;
 } rr_page;
 
@@ -228,13 +229,15 @@
     double pressure; /* 0: changes at the store are plentiful; 1: there are none to spare */
     double short_at; /* a plan was last cut short by the changes it might make */
     int changes;     /* that a plan may make now */
+    bool lowered;    /* the state service's next limits hold: it has refused what the old allowed */
+    bool anew;       /* a new term is wanted, whatever the sessions say */
     int log_level;
     uint64_t tether;
     double entitled_until;
     double fresh_at;  /* the mirror has every change made before */
     uint64_t counter; /* for attempts and request names, with the token */
     /* steward */
-    double steward_since, list_at, sim_at;
+    double steward_since, list_at, sim_at, parted_at;
     double hired_at; /* wall, when the last rental was asked for */
     uint64_t steward_token;
     bool list_read, ever_hired;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -40,7 +40,7 @@
 
 /* Whether a record with this many placements keeps to the store's size of a value. */
 bool rr_record_fits(const rr_core *c, guint items) {
-    return (double)rr_run_bytes(items) <= c->cfg->value_kb * 1024;
+    return (double)rr_run_bytes(items) <= rr_value_kb(c->cfg) * 1024;
 }
 
 static bool has_room(const struct rr_planner *p, int ops, size_t bytes) {
@@ -54,12 +54,29 @@
 
 static void take_overs(struct rr_planner *p, struct rr_plan_edit *e);
 
+/* A record of before the state service's limits were lowered may be larger than they allow now: it
+ * can't be written again until enough of its placements are over, which one change then takes out.
+ * Until the lower limits are seen to hold it may, as long as it does not grow. */
+static bool writable(const struct rr_planner *p, const rr_run *r) {
+    guint over = 0;
+    if (!p->c->lowered || rr_record_fits(p->c, r->items->len)) {
+        return true;
+    }
+    for (guint n = r->overs; n > 0; over++) {
+        n = g_array_index(p->overs, struct rr_plan_over, n - 1).next;
+    }
+    return rr_record_fits(p->c, r->items->len - MIN(over, r->items->len));
+}
+
 struct rr_plan_edit *rr_edit_of(struct rr_planner *p, rr_job *j, uint32_t chunk) {
     rr_run *r = rr_job_run(j, chunk);
     if (r->edit) {
         return r->edit;
     }
     size_t bytes = rr_run_bytes(r->items->len + 1) + 120;
+    if (!writable(p, r)) {
+        return NULL;
+    }
     if (!txn_room(p, 1, bytes)) {
         return NULL;
     }
@@ -417,7 +434,7 @@
 /* Whether changes were what bounded the plan, not the transaction. Between two plans some gather,
  * so that their number alone never looked short while hundreds of bookings waited for them. */
 static void note_short(struct rr_planner *p) {
-    if (p->full && p->c->changes < p->c->cfg->txn_ops) {
+    if (p->full && p->c->changes < rr_txn_ops(p->c->cfg)) {
         p->c->short_at = p->now;
     }
     p->full = false;
@@ -430,7 +447,7 @@
 }
 
 void rr_core_plan(rr_core *c, double now, double wall, rr_plan *out) {
-    if (!rr_core_entitled(c, now) || !rr_core_settled(c)) {
+    if (!rr_core_entitled(c, now) || !rr_core_settled(c) || c->anew) {
         return;
     }
     struct rr_planner p = {.c = c, .now = now, .wall = wall, .out = out};
@@ -445,7 +462,7 @@
     g_array_set_size(c->team_booked, 0);
     g_array_set_size(c->team_booked, (guint)c->cfg->nteams);
     /* What is over leaves part of the transaction to what waits for its start. */
-    int ops = MIN(c->cfg->txn_ops, c->changes);
+    int ops = MIN(rr_txn_ops(c->cfg), c->changes);
     p.limit = rr_any_waits(&p) ? ops - ops / 2 : ops;
     rr_reconcile(&p);
     record_overs(&p);
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -187,6 +187,19 @@
     int room; /* pages that the transaction takes yet */
 };
 
+static size_t page_bytes(const rr_core *c, const GPtrArray *list) {
+    size_t n = 64;
+    for (guint i = 0; i < list->len; i++) {
+        n += rr_page_entry_bytes(c, g_ptr_array_index(list, i));
+    }
+    return n;
+}
+
+static double page_most(const rr_core *c) {
+    return rr_value_kb(c->cfg) * 1024 - 128;
+}
+
+/* NULL: not in this step, or not before the page is parted. */
 static GPtrArray *change_page(struct pages *p, uint32_t id) {
     GPtrArray *list = g_hash_table_lookup(p->changed, GUINT_TO_POINTER(id));
     if (list || p->room == 0) {
@@ -199,23 +212,81 @@
             g_ptr_array_add(list, m);
         }
     }
+    if ((double)page_bytes(p->c, list) > page_most(p->c)) {
+        g_ptr_array_free(list, TRUE);
+        return NULL;
+    }
     g_hash_table_insert(p->changed, GUINT_TO_POINTER(id), list);
     p->room--;
     return list;
 }
 
-static size_t page_bytes(const rr_core *c, const GPtrArray *list) {
-    size_t n = 64;
-    for (guint i = 0; i < list->len; i++) {
-        n += rr_page_entry_bytes(c, g_ptr_array_index(list, i));
+/* A page from before the limits were lowered, larger than they will allow. Part of its machines are
+ * written to a new page first; once the mirror shows them there the old one is written without
+ * them. No reader, of whatever version, sees any of them in no page, which would say that it has
+ * gone; and a full read, in the order of the keys, finds them in the new one last. */
+static void part_page(struct pages *p, uint32_t id) {
+    GPtrArray *moved = g_ptr_array_new();
+    size_t left = 64, taken = 64;
+    for (guint i = 0; i < p->c->machine_list->len; i++) {
+        rr_machine *m = g_ptr_array_index(p->c->machine_list, i);
+        size_t bytes = m->recorded && m->page == id ? rr_page_entry_bytes(p->c, m) : 0;
+        if (bytes > 0 && (double)(left + bytes) > 0.75 * page_most(p->c)) {
+            if ((double)(taken + bytes) <= page_most(p->c)) {
+                g_ptr_array_add(moved, m);
+                taken += bytes;
+            }
+        } else {
+            left += bytes;
+        }
     }
-    return n;
+    g_hash_table_insert(p->changed, GUINT_TO_POINTER(p->c->next_page++), moved);
+    p->room--;
+}
+
+struct page_count {
+    guint n;
+    size_t bytes;
+};
+
+/* Pages too large to be written again are parted; those that still name machines which are in
+ * another page by now are written anew. */
+static void part_pages(struct pages *p) {
+    const rr_core *c = p->c;
+    GHashTable *counts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    GHashTableIter it;
+    gpointer k, v;
+    for (guint i = 0; i < c->machine_list->len; i++) {
+        const rr_machine *m = g_ptr_array_index(c->machine_list, i);
+        struct page_count *n = g_hash_table_lookup(counts, GUINT_TO_POINTER(m->page));
+        if (m->recorded && !n) {
+            n = g_new0(struct page_count, 1);
+            n->bytes = 64;
+            g_hash_table_insert(counts, GUINT_TO_POINTER(m->page), n);
+        }
+        if (m->recorded) {
+            n->n++;
+            n->bytes += rr_page_entry_bytes(c, m);
+        }
+    }
+    g_hash_table_iter_init(&it, c->pages);
+    while (p->room > 0 && g_hash_table_iter_next(&it, &k, &v)) {
+        const struct page_count *n = g_hash_table_lookup(counts, k);
+        if (n && (double)n->bytes > page_most(c)) {
+            part_page(p, GPOINTER_TO_UINT(k));
+        } else if (((const rr_page *)v)->entries > (n ? n->n : 0)) {
+            change_page(p, GPOINTER_TO_UINT(k));
+        }
+    }
+    g_hash_table_destroy(counts);
 }
 
+#define PART_EVERY_S 0.5
+
 /* The page that takes one machine more: one that changes anyway, else any with room, else a new
  * one. NULL: not in this step. */
 static GPtrArray *page_with_room(struct pages *p, const rr_machine *m) {
-    double most = p->c->cfg->value_kb * 1024 - 128;
+    double most = page_most(p->c);
     size_t need = rr_page_entry_bytes(p->c, m);
     GHashTableIter it;
     gpointer k, v;
@@ -267,9 +338,13 @@
     char key[RR_ID];
     GHashTableIter it;
     gpointer k, v;
-    int most = (int)(TXN_KB / c->cfg->value_kb);
-    most = most < 1 ? 1 : most > c->cfg->txn_ops ? c->cfg->txn_ops : most;
+    int most = (int)(TXN_KB / rr_value_kb(c->cfg));
+    most = most < 1 ? 1 : most > rr_txn_ops(c->cfg) ? rr_txn_ops(c->cfg) : most;
     struct pages p = {c, g_hash_table_new(NULL, NULL), most < PAGES_MAX ? most : PAGES_MAX};
+    if (rr_value_kb(c->cfg) < c->cfg->value_kb && now - c->parted_at > PART_EVERY_S) {
+        c->parted_at = now;
+        part_pages(&p);
+    }
     for (guint i = 0; i < c->machine_list->len; i++) {
         record_machine(&p, g_ptr_array_index(c->machine_list, i), now, wall);
     }
@@ -305,7 +380,7 @@
                 over = over && ((m && m->recorded) || recently_gone(c, id, now));
             }
         }
-        if (over && (int)out->txn.changes->len < c->cfg->txn_ops) {
+        if (over && (int)out->txn.changes->len < rr_txn_ops(c->cfg)) {
             rr_hire_key(h->name, key, sizeof key);
             rr_txn_guard(&out->txn, key, h->mark);
             rr_txn_delete(&out->txn, key);
@@ -329,7 +404,7 @@
 static bool record_builds(rr_core *c, rr_step *out) {
     for (guint i = 0; i < c->fresh_builds->len; i++) {
         const rr_build *b = &g_array_index(c->fresh_builds, rr_build, i);
-        if ((int)out->txn.changes->len < c->cfg->txn_ops &&
+        if ((int)out->txn.changes->len < rr_txn_ops(c->cfg) &&
             !same_build(rr_build_at(c, rr_names_find(&c->builds, b->sku)), b)) {
             char key[RR_ID + 32];
             rr_out o;
@@ -787,7 +862,7 @@
     for (guint i = 0; i < rents->len; i++) {
         const struct rent *r = &g_array_index(rents, struct rent, i);
         int left = r->count - pending_for(c, r);
-        while (left > 0 && (int)out->txn.changes->len < c->cfg->txn_ops &&
+        while (left > 0 && (int)out->txn.changes->len < rr_txn_ops(c->cfg) &&
                g_hash_table_size(c->hires) + out->txn.changes->len < HIRES_MAX) {
             int n = MIN(left, HIRE_MAX);
             put_intent(c, r, n, out);
@@ -851,7 +926,7 @@
 
 void rr_core_steward_step(rr_core *c, double now, double wall, rr_step *out) {
     out->kind = RR_STEP_NONE;
-    if (!rr_core_is_steward(c, now) || !rr_core_settled(c)) {
+    if (!rr_core_is_steward(c, now) || !rr_core_settled(c) || c->anew) {
         return;
     }
     if (c->steward_token != c->term.token) {
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -199,6 +199,14 @@
     return false;
 }
 
+void rr_core_limits_lowered(rr_core *c, bool in_doubt) {
+    if (!c->lowered) {
+        rr_log_at(c, RR_LOG_INFO, "state service: the lower limits hold");
+    }
+    c->lowered = true;
+    c->anew = c->anew || in_doubt;
+}
+
 bool rr_core_next_term(rr_core *c, double now, double wall, rr_txn *out) {
     (void)now;
     if (!c->loaded || c->rereading || !rr_core_session_seen(c, c->tether)) {
@@ -212,7 +220,7 @@
         g_ptr_array_add(live, v);
     }
     g_ptr_array_sort(live, by_name);
-    bool change = sessions_changed(c, live);
+    bool change = sessions_changed(c, live) || (c->anew && c->term.token > 0);
     if (change) {
         rr_out o;
         rr_out_init(&o);
--- a/src/store/budget.c
+++ b/src/store/budget.c
@@ -18,8 +18,13 @@
 
 struct rr_budget {
     pthread_mutex_t lock;
-    double rps, write_rps; /* the service's limits */
-    double rate, tokens;   /* requests */
+    double rps, write_rps;           /* the service's limits */
+    double next_rps, next_write_rps; /* those that it will have from some moment on */
+    bool lowered;
+    unsigned refusals; /* since refused_at */
+    double refused_at;
+    struct rr_shares shares;
+    double rate, tokens; /* requests */
     struct bucket writes[KINDS];
     double pool; /* changes left unused */
     double at;
@@ -28,6 +33,7 @@
 #define SAFE 0.9 /* of a limit that others count against too */
 
 static void set_shares(rr_budget *b, const struct rr_shares *s) {
+    b->shares = *s;
     b->rate = fmax(SAFE * b->rps * s->requests, 0.5);
     b->writes[USERS].rate = fmax(SAFE * b->write_rps * s->users, 0.2);
     b->writes[PLANS].rate = fmax(SAFE * b->write_rps * s->plans, 0.05);
@@ -40,11 +46,47 @@
     pthread_mutex_init(&b->lock, NULL);
     b->rps = rps;
     b->write_rps = write_rps;
+    b->next_rps = rps;
+    b->next_write_rps = write_rps;
     b->at = rr_now();
     set_shares(b, &all);
     return b;
 }
 
+void rr_budget_next(rr_budget *b, double rps, double write_rps) {
+    pthread_mutex_lock(&b->lock);
+    b->next_rps = rps > 0 ? fmin(rps, b->rps) : b->rps;
+    b->next_write_rps = write_rps > 0 ? fmin(write_rps, b->write_rps) : b->write_rps;
+    pthread_mutex_unlock(&b->lock);
+}
+
+static void lower(rr_budget *b) {
+    b->lowered = true;
+    b->rps = b->next_rps;
+    b->write_rps = b->next_write_rps;
+    set_shares(b, &b->shares);
+}
+
+void rr_budget_lower(rr_budget *b) {
+    pthread_mutex_lock(&b->lock);
+    lower(b);
+    pthread_mutex_unlock(&b->lock);
+}
+
+#define REFUSALS 3 /* within REFUSED_S: what a burst of several controllers brings is fewer */
+#define REFUSED_S 5.0
+
+void rr_budget_refused(rr_budget *b) {
+    pthread_mutex_lock(&b->lock);
+    double now = rr_now();
+    b->refusals = now - b->refused_at < REFUSED_S ? b->refusals + 1 : 1;
+    b->refused_at = b->refusals == 1 ? now : b->refused_at;
+    if (!b->lowered && b->refusals >= REFUSALS) {
+        lower(b);
+    }
+    pthread_mutex_unlock(&b->lock);
+}
+
 void rr_budget_destroy(rr_budget *b) {
     if (b) {
         pthread_mutex_destroy(&b->lock);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -40,7 +40,11 @@
                         .body = body ? body->buf.data : NULL,
                         .len = body ? body->buf.size : 0,
                         .timeout_s = timeout_s};
-    return rr_client_call(s->client, &c, reply);
+    int rc = rr_client_call(s->client, &c, reply);
+    if (rc == 0 && reply->status == 429) {
+        rr_budget_refused(s->budget);
+    }
+    return rc;
 }
 
 static void failed_keys(const msgpack_object *root, GPtrArray *failed) {
@@ -60,7 +64,7 @@
         rr_doc_parse(&e, reply->body->data, reply->body->len);
         bool lease = rr_text_is(rr_get(e.root, "error"), "no such lease");
         rr_doc_clear(&e);
-        return lease ? RR_NO_LEASE : RR_REFUSED;
+        return lease ? RR_NO_LEASE : RR_INVALID;
     }
     if (reply->status != 200 && reply->status != 409) {
         return reply->status == 503 || reply->status == 429 ? RR_REFUSED : RR_DOUBT;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -15,6 +15,11 @@
 void rr_budget_destroy(rr_budget *b);
 /* Our parts of the service's limits. */
 void rr_budget_share(rr_budget *b, const struct rr_shares *s);
+/* The limits that the service will have from some moment on. The present ones are used up to until
+ * refusals, or a valid transaction that it calls invalid, show that the next ones hold. */
+void rr_budget_next(rr_budget *b, double rps, double write_rps);
+void rr_budget_refused(rr_budget *b); /* a request got 429 */
+void rr_budget_lower(rr_budget *b);
 /* For plans. 0: a second's worth of changes is to spare; 1: none. */
 double rr_budget_pressure(rr_budget *b);
 int rr_budget_changes(rr_budget *b); /* that a plan may make now without waiting */
@@ -26,9 +31,10 @@
 void rr_store_destroy(rr_store *s);
 
 /* Outcome of a transaction. */
-enum rr_commit { RR_COMMITTED, RR_CONFLICT, RR_REFUSED, RR_DOUBT, RR_NO_LEASE };
-/* One try. RR_REFUSED: not executed. RR_DOUBT: it may have been or may still be. *epoch is set with
- * the first two. failed, if given, gets the keys whose guards did not hold. */
+enum rr_commit { RR_COMMITTED, RR_CONFLICT, RR_REFUSED, RR_DOUBT, RR_NO_LEASE, RR_INVALID };
+/* One try. RR_REFUSED: not executed. RR_INVALID: nor will it be, as it is beyond the limits.
+ * RR_DOUBT: it may have been or may still be. *epoch is set with the first two. failed, if given,
+ * gets the keys whose guards did not hold. */
 enum rr_commit rr_store_commit(rr_store *s, enum rr_prio prio, const rr_txn *t, double timeout_s,
                                uint64_t *epoch, GPtrArray *failed);
 
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -63,7 +63,38 @@
     return n;
 }
 
+/* As the state service counts it. */
+static size_t json_size(const void *data, size_t len) {
+    static char text[256 * 1024];
+    rr_doc d;
+    assert_int_equal(rr_doc_parse(&d, data, len), 0);
+    int n = msgpack_object_print_buffer(text, sizeof text, *d.root);
+    rr_doc_clear(&d);
+    return (size_t)n;
+}
+
+size_t fx_value_size(const fx_store *s, const char *key) {
+    const struct fx_value *v = g_hash_table_lookup(s->kv, key);
+    return v ? json_size(v->data, v->len) : 0;
+}
+
+static bool within_limits(const fx_store *s, const rr_txn *t) {
+    if (s->ops_max && (t->changes->len > s->ops_max || t->guards->len > 4 * s->ops_max)) {
+        return false;
+    }
+    for (guint i = 0; s->value_max && i < t->changes->len; i++) {
+        const rr_change *c = &g_array_index(t->changes, rr_change, i);
+        if (c->value && json_size(c->value, c->len) > s->value_max) {
+            return false;
+        }
+    }
+    return true;
+}
+
 int fx_commit(fx_store *s, const rr_txn *t) {
+    if (!within_limits(s, t)) {
+        return -EINVAL;
+    }
     for (guint i = 0; i < t->guards->len; i++) {
         const rr_guard *g = &g_array_index(t->guards, rr_guard, i);
         if (fx_mark(s, g->key) != g->mark) {
@@ -137,6 +168,21 @@
     g_list_free(keys);
 }
 
+GString *fx_dump(const fx_store *s) {
+    GString *out = g_string_new(NULL);
+    GList *keys = g_list_sort(g_hash_table_get_keys(s->kv), by_text);
+    for (const GList *k = keys; k; k = k->next) {
+        const struct fx_value *v = g_hash_table_lookup(s->kv, k->data);
+        g_string_append_printf(out, "%s ", (const char *)k->data);
+        for (size_t i = 0; i < v->len; i++) {
+            g_string_append_printf(out, "%02x", ((const uint8_t *)v->data)[i]);
+        }
+        g_string_append_c(out, '\n');
+    }
+    g_list_free(keys);
+    return out;
+}
+
 void fx_put(fx_store *s, const char *key, rr_out *o) {
     rr_txn t;
     rr_txn_init(&t);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -16,18 +16,23 @@
     GHashTable *kv; /* key -> struct fx_value* */
     GPtrArray *log; /* struct fx_change* */
     uint64_t epoch;
+    size_t value_max; /* bytes of JSON, 0: no limit */
+    guint ops_max;    /* changes in a transaction, 0: no limit */
 } fx_store;
 
 fx_store *fx_store_create(void);
 void fx_store_destroy(fx_store *s);
-/* 0, or -EAGAIN if a guard fails (nothing is changed then). */
+/* 0, -EAGAIN if a guard fails, -EINVAL beyond a limit (nothing is changed then). */
 int fx_commit(fx_store *s, const rr_txn *t);
 /* Brings the core's mirror up to now. */
 void fx_sync(fx_store *s, rr_core *c, double now);
 /* A full read in key order, as a controller makes that has just started. */
 void fx_reread(fx_store *s, rr_core *c, double now);
-uint64_t fx_mark(const fx_store *s, const char *key); /* 0: no such key */
-uint64_t fx_log_mark(const fx_store *s, guint i);     /* revision of the i-th change ever made */
+/* Every record, in key order: its key and its bytes in hexadecimal digits, a line each. */
+GString *fx_dump(const fx_store *s);
+size_t fx_value_size(const fx_store *s, const char *key); /* as JSON; 0: no such key */
+uint64_t fx_mark(const fx_store *s, const char *key);     /* 0: no such key */
+uint64_t fx_log_mark(const fx_store *s, guint i); /* revision of the i-th change ever made */
 unsigned fx_count(const fx_store *s, const char *prefix);
 void fx_put(fx_store *s, const char *key, rr_out *o);   /* writes, whatever is there */
 unsigned fx_placed(const fx_store *s, const char *ref); /* bookings of a job in the ledger */
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -21,7 +21,31 @@
     rr_budget_destroy(b);
 }
 
+/* The present limits are used until three refusals in a row show that the next ones hold; then the
+ * parts follow those. One refusal says nothing. */
+static void the_next_limits(void **state) {
+    (void)state;
+    static const struct rr_shares parts = {1, 0.4, 0.4, 0.2};
+    for (int refusals = 1; refusals <= 3; refusals += 2) {
+        rr_budget *b = rr_budget_create(1e6, 1000);
+        rr_budget_share(b, &parts);
+        rr_budget_next(b, 1e6, 1);
+        for (int i = 0; i < refusals; i++) {
+            rr_budget_refused(b);
+        }
+        rr_budget_share(b, &parts); /* a new term keeps them */
+        assert_int_equal(rr_budget_take(b, RR_PRIO_READ, 0, 5), 0);
+        int taken = 0;
+        for (int i = 0; i < 40; i++) { /* 0.4 of 900 a second, or of 0.9 */
+            taken += rr_budget_take(b, RR_PRIO_USER, 1, 0.05) == 0;
+        }
+        assert_true(refusals == 1 ? taken == 40 : taken < 5);
+        rr_budget_destroy(b);
+    }
+}
+
 int main(void) {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(users_may_owe_a_second)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(users_may_owe_a_second),
+                                       cmocka_unit_test(the_next_limits)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_core_upgrade.c
@@ -0,0 +1,340 @@
+/* Two versions side by side, and the state service's limits lowered while records of before are
+ * stored: what each writes the other reads, and what was stored larger is still worked on. */
+#include "scene.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+static char *fixture(void) {
+    char *text = NULL;
+    assert_true(g_file_get_contents(RR_FIXTURES "/production.txt", &text, NULL, NULL));
+    return text;
+}
+
+/* Nothing new is asked for yet, so that this version writes the very bytes that the one in
+ * production writes; whatever changes has to be read by both. */
+static void writes_what_production_writes(void **state) {
+    (void)state;
+    char *was = fixture();
+    GString *is = scene_play();
+    assert_string_equal(is->str, was);
+    g_string_free(is, TRUE);
+    g_free(was);
+}
+
+static guint8 *from_hex(const char *hex, size_t *len) {
+    *len = strlen(hex) / 2;
+    guint8 *out = g_malloc(*len + 1);
+    for (size_t i = 0; i < *len; i++) {
+        out[i] =
+            (guint8)(g_ascii_xdigit_value(hex[2 * i]) << 4 | g_ascii_xdigit_value(hex[2 * i + 1]));
+    }
+    return out;
+}
+
+static void read_frames(const guint8 *data, size_t len) {
+    static const uint8_t types[] = {RR_FRAME_HELLO, RR_FRAME_SENT_AT, RR_FRAME_HEARD,
+                                    RR_FRAME_SUSPECT};
+    size_t at = 0;
+    for (int i = 0; i < 4; i++) {
+        uint8_t type;
+        uint32_t n;
+        assert_true(at + RR_FRAME_HEAD <= len);
+        assert_int_equal(rr_frame_head(data + at, &type, &n), 0);
+        assert_int_equal(type, types[i]);
+        at += RR_FRAME_HEAD + n;
+    }
+    assert_int_equal(at, len);
+}
+
+/* A controller that starts on production's records knows its jobs, machines and bookings. */
+static void reads_production(void **state) {
+    (void)state;
+    char *was = fixture(), **lines = g_strsplit(was, "\n", 0);
+    fx_store *s = fx_store_create();
+    fx_node n;
+    rr_job_view v;
+    rr_core_stats st;
+    fx_node_init(&n, s, "n0");
+    rr_core_mirror_begin(n.core);
+    for (int i = 0; lines[i] && lines[i][0]; i++) {
+        char *hex = strchr(lines[i], ' ');
+        size_t len;
+        *hex++ = 0;
+        guint8 *data = from_hex(hex, &len);
+        if (strcmp(lines[i], "frames") == 0) {
+            read_frames(data, len);
+        } else {
+            rr_doc d;
+            assert_int_equal(rr_doc_parse(&d, data, len), 0);
+            rr_core_mirror_put(n.core, lines[i], d.root, (uint64_t)i + 1, n.now);
+            rr_doc_clear(&d);
+        }
+        g_free(data);
+    }
+    rr_core_mirror_end(n.core, 50, 50, n.now);
+    rr_core_set_epoch(n.core, 50);
+    rr_core_set_session(n.core, 7, n.now + 100);
+    assert_true(rr_core_entitled(n.core, n.now));
+    rr_core_job_view(n.core, "req-1", n.now, &v);
+    assert_true(v.known && !v.done && v.ndone == 1);
+    rr_core_job_view(n.core, "req-4", n.now, &v);
+    assert_true(v.aborted);
+    rr_core_get_stats(n.core, &st);
+    assert_int_equal(st.machines, 3);
+    assert_int_equal(st.tasks_placed, 6);
+    fx_node_clear(&n);
+    fx_store_destroy(s);
+    g_strfreev(lines);
+    g_free(was);
+}
+
+/* ---- lower limits ---- */
+
+#define NEXT_KB 2.0
+#define NEXT_OPS 4
+
+static int setup(void **state) {
+    fx_world_setup(state);
+    fx_world *w = *state;
+    w->n.cfg.next_value_kb = NEXT_KB;
+    w->n.cfg.next_txn_ops = NEXT_OPS;
+    return 0;
+}
+
+static void lower(fx_store *s) {
+    s->value_max = (size_t)(NEXT_KB * 1024);
+    s->ops_max = NEXT_OPS;
+}
+
+/* Plans; a transaction that the store calls invalid is told of, as the shell does. */
+static int plan(fx_node *n) {
+    rr_plan p;
+    int rc = 0;
+    rr_plan_init(&p);
+    rr_core_plan(n->core, n->now, n->now, &p);
+    if (p.has_txn) {
+        rc = fx_commit(n->store, &p.txn);
+        if (rc == -EINVAL) {
+            rr_core_limits_lowered(n->core, false);
+        }
+    }
+    fx_sync(n->store, n->core, n->now);
+    for (guint i = 0; i < p.dos->len; i++) {
+        rr_core_do_result(n->core, n->now, g_ptr_array_index(p.dos, i), RR_DO_ANSWERED, true);
+    }
+    rr_plan_clear(&p);
+    return rc;
+}
+
+/* From the first write on everything keeps to the smaller limits: an array that would fill a record
+ * of the old size, the fleet, and what ends and is cancelled. */
+static void the_first_write_is_small(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    fx_fleet(n, 1, 20, "a"); /* written by an old version: 40 machines a page */
+    lower(w->store);
+    fx_submit(w->store, &(struct fx_job){.ref = "req-1", .pieces = 60, .cpu = 1}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    for (int i = 0; i < 12; i++) {
+        n->now += 0.5;
+        assert_int_not_equal(plan(n), -EINVAL);
+    }
+    unsigned placed = fx_placed(w->store, "req-1");
+    assert_true(placed >= 30 && placed < 60); /* the rest of the record's tasks wait for others */
+    assert_true(fx_value_size(w->store, RR_ROOT "run/req-1/0") <= w->store->value_max);
+    fx_cancel(n, "req-1");
+    for (int m = 1; m <= 20; m++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        fx_report(n, id, "a", false, 1, 9, rr_core_token(n->core), NULL);
+    }
+    for (int i = 0; i < 4; i++) {
+        n->now += 0.5;
+        assert_int_not_equal(plan(n), -EINVAL);
+    }
+    assert_int_equal(fx_placed(w->store, "req-1"), 0);
+}
+
+/* A ledger record of an old version, larger than the limit: */
+static void put_old_record(fx_world *w, const char *ref, int tasks) {
+    char key[64];
+    rr_out o;
+    rr_out_init(&o);
+    rr_put_map(&o, 2);
+    rr_put_key_text(&o, "bits", "0000000000000000");
+    rr_put_text(&o, "tasks");
+    rr_put_array(&o, (size_t)tasks);
+    for (int t = 0; t < tasks; t++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "vm-%d", t % 20 + 1);
+        rr_put_array(&o, 5);
+        rr_put_u64(&o, (uint64_t)t);
+        rr_put_text(&o, id);
+        rr_put_u64(&o, ((uint64_t)5000 << 32) + 500 + (uint64_t)t);
+        rr_put_u64(&o, 1);
+        rr_put_u64(&o, 0);
+    }
+    g_snprintf(key, sizeof key, RR_ROOT "run/%s/0", ref);
+    fx_put(w->store, key, &o);
+    fx_sync(w->store, w->n.core, w->n.now);
+}
+
+/* All machines show the job's tasks: those below `over` as done, the others running. */
+static void show_tasks(fx_node *n, const char *ref, int tasks, int over, uint64_t tally) {
+    for (int m = 1; m <= 20; m++) {
+        char id[16], *show[4] = {NULL};
+        int k = 0;
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        for (int t = m - 1; t < tasks; t += 20) {
+            uint64_t at = fx_booked(n->store, id, ref, (uint32_t)t);
+            if (at) {
+                show[k++] = g_strdup_printf("%s %d %" G_GUINT64_FORMAT " %s", ref, t, at,
+                                            t < over ? "ended:done" : "running");
+            }
+        }
+        fx_report(n, id, "a", false, 1, tally, rr_core_token(n->core), show[0], show[1], show[2],
+                  NULL);
+        for (int i = 0; i < k; i++) {
+            g_free(show[i]);
+        }
+    }
+}
+
+/* It stays readable and is worked on: a write that is refused shows the new limit, and from then on
+ * it waits until what is over brings it below. Nothing of it is lost, and other jobs go on. */
+static void an_old_record_beyond_the_limit(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    const int tasks = 60;
+    rr_job_view v;
+    fx_fleet(n, 1, 20, "a");
+    fx_submit(w->store, &(struct fx_job){.ref = "req-1", .pieces = 60, .cpu = 1}, n->now);
+    put_old_record(w, "req-1", tasks);
+    assert_true(fx_value_size(w->store, RR_ROOT "run/req-1/0") > (size_t)(NEXT_KB * 1024));
+    /* Not lowered yet: it may be written again while it does not grow. */
+    show_tasks(n, "req-1", tasks, 2, 2);
+    n->now += 1;
+    assert_int_equal(plan(n), 0);
+    assert_int_equal(fx_placed(w->store, "req-1"), 58);
+    lower(w->store);
+    show_tasks(n, "req-1", tasks, 4, 3);
+    n->now += 1;
+    assert_int_equal(plan(n), -EINVAL);
+    for (int i = 0; i < 3; i++) {
+        n->now += 1;
+        assert_int_not_equal(plan(n), -EINVAL);
+    }
+    assert_int_equal(fx_placed(w->store, "req-1"), 58);
+    fx_submit(w->store, &(struct fx_job){.ref = "req-2", .cpu = 1}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    show_tasks(n, "req-1", tasks, 30, 4);
+    n->now += 1;
+    assert_int_equal(plan(n), 0);
+    assert_int_equal(fx_placed(w->store, "req-1"), 30);
+    for (int i = 0; i < 3; i++) {
+        n->now += 1;
+        plan(n);
+    }
+    assert_int_equal(fx_placed(w->store, "req-2"), 1);
+    show_tasks(n, "req-1", tasks, tasks, 5);
+    for (int i = 0; i < 3; i++) {
+        n->now += 1;
+        assert_int_not_equal(plan(n), -EINVAL);
+    }
+    rr_core_job_view(n->core, "req-1", n->now, &v);
+    assert_true(v.done);
+}
+
+/* An old page of machines beyond the limit is parted by changes that each fit, and at no moment
+ * does a reader, one that follows or one that reads all anew, see any of its machines in no page.
+ */
+static void an_old_page_is_parted(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n, other;
+    rr_core_stats st;
+    rr_step s;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    fx_node_init(&other, w->store, "n1");
+    fx_fleet(n, 1, 40, "a");
+    fx_sync(w->store, other.core, other.now);
+    for (int i = 1; i <= 40; i++) {
+        rr_stone st1 = {.state = RR_STONE_RUNNING, .age_s = 500};
+        g_snprintf(st1.id, sizeof st1.id, "vm-%d", i);
+        g_strlcpy(st1.build, "m1", sizeof st1.build);
+        g_strlcpy(st1.ward, "a", sizeof st1.ward);
+        g_array_append_val(stones, st1);
+    }
+    assert_true(fx_value_size(w->store, RR_ROOT "fleet/00000001") > (size_t)(NEXT_KB * 1024));
+    lower(w->store);
+    for (int i = 0; i < 20; i++) {
+        fx_steward_step(n, stones, &s);
+        rr_step_clear(&s);
+        n->now += 0.6;
+        fx_node fresh;
+        fx_node_init(&fresh, w->store, "n2");
+        fx_reread(w->store, fresh.core, fresh.now);
+        fx_sync(w->store, other.core, other.now);
+        rr_core_get_stats(fresh.core, &st);
+        assert_int_equal(st.machines, 40);
+        rr_core_get_stats(other.core, &st);
+        assert_int_equal(st.machines, 40);
+        rr_core_get_stats(n->core, &st);
+        assert_int_equal(st.machines, 40);
+        assert_int_equal(st.booting, 0); /* what was heard of them is kept */
+        fx_node_clear(&fresh);
+    }
+    assert_true(fx_count(w->store, RR_ROOT "fleet/") >= 2);
+    for (int i = 1; i <= (int)fx_count(w->store, RR_ROOT "fleet/"); i++) {
+        char key[64];
+        g_snprintf(key, sizeof key, RR_ROOT "fleet/%08d", i);
+        assert_true(fx_value_size(w->store, key) <= w->store->value_max);
+    }
+    g_array_free(stones, TRUE);
+    fx_node_clear(&other);
+}
+
+/* A transaction went unanswered and its repeat is called invalid: the first copy may be carried out
+ * yet, so that nothing is planned before a new term has voided it. */
+static void a_doubt_ends_with_a_term(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_plan late;
+    fx_fleet(n, 1, 4, "a");
+    fx_submit(w->store, &(struct fx_job){.ref = "req-1"}, n->now);
+    fx_sync(w->store, n->core, n->now);
+    rr_plan_init(&late);
+    rr_core_plan(n->core, n->now, n->now, &late);
+    assert_true(late.has_txn);
+    rr_core_limits_lowered(n->core, true);
+    uint64_t token = rr_core_token(n->core);
+    assert_int_equal(plan(n), 0);
+    assert_int_equal(fx_placed(w->store, "req-1"), 0);
+    fx_term(n);
+    assert_true(rr_core_token(n->core) == token + 1);
+    assert_int_not_equal(fx_commit(w->store, &late.txn), 0);
+    for (int m = 1; m <= 4; m++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        fx_report(n, id, "a", false, 1, 9, rr_core_token(n->core), NULL);
+    }
+    n->now += 1;
+    assert_int_equal(plan(n), 0);
+    assert_int_equal(fx_placed(w->store, "req-1"), 1);
+    fx_term(n);
+    assert_true(rr_core_token(n->core) == token + 1); /* one is enough */
+    rr_plan_clear(&late);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(writes_what_production_writes),
+        cmocka_unit_test(reads_production),
+        cmocka_unit_test_setup_teardown(the_first_write_is_small, setup, fx_world_teardown),
+        cmocka_unit_test_setup_teardown(an_old_record_beyond_the_limit, setup, fx_world_teardown),
+        cmocka_unit_test_setup_teardown(an_old_page_is_parted, setup, fx_world_teardown),
+        cmocka_unit_test_setup_teardown(a_doubt_ends_with_a_term, setup, fx_world_teardown),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -62,6 +62,22 @@
     assert_true(rr_session_s(&c) + c.lease_s < c.cancel_s);
 }
 
+/* The limits that are to come: what is not named stays as it is, and a larger one changes nothing.
+ */
+static void limits_to_come(void **state) {
+    (void)state;
+    struct rr_config c;
+    char err[256] = "";
+    assert_int_equal(load(base, NULL, &c, err, sizeof err), 0);
+    assert_true(rr_value_kb(&c) == 8 && rr_txn_ops(&c) == 32 && c.next_write_rps == 100);
+    char *text = replaced("txn_ops = 32\n", "txn_ops = 32\n[deployment.state.next]\n"
+                                            "value_kb = 2.0\ntxn_ops = 64\nwrite_rps = 24\n");
+    assert_int_equal(load(text, NULL, &c, err, sizeof err), 0);
+    assert_true(rr_value_kb(&c) == 2 && rr_txn_ops(&c) == 32);
+    assert_true(c.next_write_rps == 24 && c.next_rps == c.state_rps);
+    g_free(text);
+}
+
 static void bad_platform_settings(void **state) {
     (void)state;
     static const char *const cases[][3] = {
@@ -75,6 +91,14 @@
         {"report_s = 3.0", "report_s = nan", "deployment.workers.report_s"},
         {"cancel_s = 66.0", "cancel_s = 30.0", "deployment.workers.cancel_s"},
         {"txn_ops = 32", "", "deployment.state.txn_ops"},
+        {"txn_ops = 32\n", "txn_ops = 32\nnext = 5\n", "deployment.state.next"},
+        {"txn_ops = 32\n", "txn_ops = 32\nnext = [2]\n", "deployment.state.next"},
+        {"txn_ops = 32\n", "txn_ops = 32\n[deployment.state.next]\nvalue_kb = \"2\"\n",
+         "deployment.state.next.value_kb"},
+        {"txn_ops = 32\n", "txn_ops = 32\n[deployment.state.next]\ntxn_ops = 1\n",
+         "deployment.state.next.txn_ops"},
+        {"txn_ops = 32\n", "txn_ops = 32\n[deployment.state.next]\nwrite_rps = -3\n",
+         "deployment.state.next.write_rps"},
         {"name = \"t\"", "name = \"\"", "deployment.teams[0].name"},
         {"gpus_max = 3", "gpus_max = []", "deployment.teams[0].gpus_max"},
     };
@@ -126,7 +150,8 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(good_settings), cmocka_unit_test(bad_platform_settings),
-        cmocka_unit_test(syntax_error_and_missing_file), cmocka_unit_test(operators_settings)};
+        cmocka_unit_test(good_settings), cmocka_unit_test(limits_to_come),
+        cmocka_unit_test(bad_platform_settings), cmocka_unit_test(syntax_error_and_missing_file),
+        cmocka_unit_test(operators_settings)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
