--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -477,13 +477,26 @@
     return u->value.buf.size * 14 / 10 + 16;
 }
 
+/* A transaction guards and writes a key once. An acceptance whose answer was lost, on its way
+ * again, and the cancellation of the job that others had read meanwhile once went together: the
+ * guard of one stood for both, the later put won, and a job that was told to be cancelled ran on.
+ */
+static bool batch_has(const struct batch *b, const char *key) {
+    for (guint i = 0; i < b->n; i++) {
+        if (strcmp(b->entries[i]->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* False: it does not fit any more. */
 static bool batch_add(const struct rr_config *cfg, struct batch *b, struct rr_user_commit *u) {
     size_t size = json_size(u), most = (size_t)(rr_value_kb(cfg) * 1024) - 64;
     bool joins = u->accepts && b->open > 0 && b->open + size <= most;
     guint records = b->records + !joins;
-    if (b->n == RR_BATCH_MAX || records > (guint)rr_txn_ops(cfg) || b->bytes + size > BATCH_BYTES ||
-        b->n + 1 + records > 4 * (guint)rr_txn_ops(cfg)) {
+    if (b->n == RR_BATCH_MAX || batch_has(b, u->key) || records > (guint)rr_txn_ops(cfg) ||
+        b->bytes + size > BATCH_BYTES || b->n + 1 + records > 4 * (guint)rr_txn_ops(cfg)) {
         return b->n == 0;
     }
     b->open = joins ? b->open + size : u->accepts ? size : b->open;
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -157,7 +157,7 @@
     } else if (admit == RR_ADMIT_NEVER) {
         refuse(rs, 422, why, 0);
     } else {
-        refuse(rs, 503, "not decidable yet", 1);
+        refuse(rs, 503, why, 1);
     }
 }
 
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -152,6 +152,8 @@
     c->clock_off_s /= 1000;
     need_num(l, "deployment.workers.report_s", 0.01, 3600, &c->report_s);
     need_num(l, "deployment.workers.lease_s", 0.1, 86400, &c->lease_s);
+    opt_num(l, "deployment.workers.gang_wait_s", 0.1, 86400, 40, &c->gang_wait_s);
+    opt_num(l, "deployment.workers.gang_peer_s", 0.1, 86400, 5, &c->gang_peer_s);
     need_num(l, "deployment.workers.cancel_s", 0.1, 86400, &c->cancel_s);
     need_num(l, "deployment.state.rps", 1, 1e6, &c->state_rps);
     need_num(l, "deployment.state.write_rps", 1, 1e6, &c->state_write_rps);
--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -274,18 +274,21 @@
 
 /* Free room in small pieces is none: a job once waited for the zone with most of it, where no
  * machine could take a task, while another zone had machines for all of them. So zones in which all
- * that waits of the job fits come before those that take part of it, and those before the rest. */
-static int zone_class(uint32_t fit, uint32_t wanted) {
-    return fit == 0 ? 0 : fit < wanted ? 1 : 2;
+ * that waits of the job fits come before those that take part of it, and those before the rest. A
+ * gang starts with its last image: where all of it fits on machines that have it comes first. */
+static int zone_class(uint32_t fit, uint32_t warm, uint32_t wanted) {
+    return fit == 0 ? 0 : fit < wanted ? 1 : warm < wanted ? 2 : 3;
 }
 
 int rr_zone_most_room(rr_core *c, const rr_job *j, const bool *wards, double now) {
     guint n = c->wards.names->len;
     rr_res room[n + 1], cap[n + 1];
-    uint32_t fit[n + 1], wanted = j->s.pieces - MIN(j->s.pieces, j->ndone + j->nplaced);
+    uint32_t fit[n + 1], warm[n + 1],
+        wanted = j->s.pieces - MIN(j->s.pieces, j->ndone + j->nplaced);
     memset(room, 0, sizeof room);
     memset(cap, 0, sizeof cap);
     memset(fit, 0, sizeof fit);
+    memset(warm, 0, sizeof warm);
     for (guint i = 0; i < c->machine_list->len; i++) {
         const rr_machine *m = g_ptr_array_index(c->machine_list, i);
         c->visits++;
@@ -294,6 +297,9 @@
             room[m->ward] = rr_res_add(room[m->ward], m->sim, 1);
             cap[m->ward] = rr_res_add(cap[m->ward], rr_machine_cap(c, m), 1);
             fit[m->ward] += tasks_in(j->need, m->sim, wanted - MIN(wanted, fit[m->ward]));
+            if (j->s.shape == RR_GANG && rr_machine_has_cast(m, j->cast)) {
+                warm[m->ward] += tasks_in(j->need, m->sim, wanted - MIN(wanted, warm[m->ward]));
+            }
         }
     }
     int best = -1, best_class = 0;
@@ -302,7 +308,7 @@
         /* The share of the zone that is free on its scarcest resource, as the paper scores
          * clusters. */
         double r = cap[w].cpu > 0 ? rr_res_room(room[w], cap[w]) : -1;
-        int class = zone_class(fit[w], wanted);
+        int class = zone_class(fit[w], warm[w], wanted);
         if (r >= 0 && (class > best_class || (class == best_class && r > most))) {
             most = r;
             best_class = class;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -68,6 +68,8 @@
     size_t nobjectives;
     double clock_off_s;
     double report_s, lease_s, cancel_s;
+    double gang_wait_s; /* a gang's task gives up after waiting so long for the others */
+    double gang_peer_s; /* within this the others notice that one is gone, or is told to stop */
     double state_rps, state_write_rps, value_kb;
     int txn_ops;
     /* The limits that the state service will have from some moment on, without notice; 0 or the
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -330,6 +330,10 @@
     const char *field;
     if (rr_submission_decode(v, &s, &field) != 0) {
         rr_log_at(c, RR_LOG_ERROR, "job %s: record unreadable at %s", j->s.ref, field);
+        /* A version that did not know the job's shape writes its cancellation without the rest. */
+        rr_get_bool(v, "cancelled", &j->cancelled);
+        recount(c, j, -1);
+        recount(c, j, 1); /* its machines are looked at */
         return;
     }
     if (j->s.pieces && j->s.pieces != s.pieces) {
@@ -867,6 +871,7 @@
     rr_session *s = g_new0(rr_session, 1);
     g_strlcpy(s->name, name, sizeof s->name);
     s->tether = tether;
+    rr_get_u64(v, "able", &s->able);
     g_hash_table_replace(c->sessions, s->name, s);
 }
 
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -29,11 +29,12 @@
     uint64_t attempt, tenure;
     int evict; /* enum rr_evict: to be stopped for work of higher rank, or moved away */
     /* volatile */
-    double seen_at;  /* when the mirror first showed it */
-    double start_at; /* last start sent, 0: none */
-    double stop_at;  /* last stop sent, 0: none */
-    double over_at;  /* since when it is known to be over, 0: it is not */
-    bool leaving;    /* a plan under construction stops it */
+    double seen_at;    /* when the mirror first showed it */
+    double start_at;   /* last start sent, 0: none */
+    double stop_at;    /* last stop sent, 0: none */
+    double stop_leave; /* the time it left */
+    double over_at;    /* since when it is known to be over, 0: it is not */
+    bool leaving;      /* a plan under construction stops it */
 } rr_place;
 
 /* The same placement as its record holds it. */
@@ -152,6 +153,7 @@
 typedef struct {
     char name[RR_NAME];
     uint64_t tether;
+    uint64_t able; /* 0: a version that knows no gangs; not kept in terms */
 } rr_session;
 
 typedef struct {
@@ -325,6 +327,8 @@
 
 /* term.c */
 bool rr_in_term(const rr_core *c);
+/* Every controller of the term knows gangs. One that comes back in an older version ends that. */
+bool rr_all_able(const rr_core *c);
 /* A number that no other attempt has, of whatever controller and term; later ones are higher within
  * a team. */
 uint64_t rr_next_attempt(rr_core *c);
@@ -354,6 +358,21 @@
 bool rr_machine_dead(const rr_core *c, const rr_machine *m, double now);
 double rr_silent_for(const rr_machine *m, double now);
 
+/* gang.c */
+enum rr_gang_phase {
+    RR_GANG_QUEUED,   /* no task is on a machine or booked */
+    RR_GANG_BOOKED,   /* all are booked; none is shown yet */
+    RR_GANG_WAITING,  /* some are shown; not all run */
+    RR_GANG_RUNNING,  /* all run */
+    RR_GANG_STOPPING, /* one is lost or has to go: all go, and come back together */
+    RR_GANG_ENDING    /* done or cancelled: what is left goes */
+};
+/* From the ledger and the reports alone, so that a new owner reaches the same. */
+enum rr_gang_phase rr_gang_phase(const rr_core *c, const rr_job *j, double now);
+/* Every task of it is to be stopped. *saving: all of them can be told to save first. */
+bool rr_gang_stops(const rr_core *c, const rr_job *j, double now, bool *saving);
+uint32_t rr_gang_most(const rr_core *c); /* tasks of one gang at most */
+
 /* allocation.c */
 bool rr_job_allows(const rr_core *c, const rr_job *j, int build, int ward, bool loaners);
 /* The zones in which one more task of the job may start, given its placements (and, while moving,
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -19,9 +19,9 @@
 }
 
 /* Every placement in the ledger counts against the limit, proven gone or not. */
-static bool within_quota(struct rr_planner *p, const rr_job *j) {
+static bool within_quota(struct rr_planner *p, const rr_job *j, uint32_t tasks) {
     const struct rr_team_config *t = &p->c->cfg->teams[j->team];
-    rr_res u = rr_res_add(team_used(p, j->team), j->need, 1);
+    rr_res u = rr_res_add(team_used(p, j->team), j->need, tasks);
     return (t->cpus_max <= 0 || u.cpu <= t->cpus_max + RR_EPS) &&
            (t->gpus_max <= 0 || u.gpu <= t->gpus_max + RR_EPS);
 }
@@ -45,13 +45,14 @@
     return used.cpu > g.cpu + RR_EPS || used.gpu > g.gpu + RR_EPS;
 }
 
-static bool book(struct rr_planner *p, rr_machine *m, rr_job *j, uint32_t task) {
+static bool book_as(struct rr_planner *p, rr_machine *m, rr_job *j, uint32_t task,
+                    uint64_t attempt) {
     rr_core *c = p->c;
     struct rr_plan_edit *e = rr_edit_of(p, j, task / j->per);
     if (!e || !rr_record_fits(c, e->items->len + 1)) {
         return false;
     }
-    rr_item it = {.m = m, .task = task, .attempt = rr_next_attempt(c), .tenure = m->rep.tenure};
+    rr_item it = {.m = m, .task = task, .attempt = attempt, .tenure = m->rep.tenure};
     g_array_append_val(e->items, it);
     rr_plan_use(p, m);
     g_array_append_val(m->booked, j);
@@ -65,6 +66,10 @@
     return true;
 }
 
+static bool book(struct rr_planner *p, rr_machine *m, rr_job *j, uint32_t task) {
+    return book_as(p, m, j, task, rr_next_attempt(p->c));
+}
+
 static bool next_task(const rr_job *j, uint32_t *task) {
     while (*task < j->s.pieces && (j->placed[*task] || rr_job_task_done(j, *task))) {
         (*task)++;
@@ -115,6 +120,9 @@
 static bool may_stop(struct rr_planner *p, const rr_job *j, const rr_place *q, bool owed,
                      rr_res taken) {
     const rr_job *v = q->job;
+    if (v->s.shape == RR_GANG) {
+        return false; /* all of it would go for the room of one task */
+    }
     if (v->s.rank < j->s.rank && v->s.shape == RR_BATCH &&
         rr_objective_for(p->c, "wait", j->s.lane)) {
         return true;
@@ -328,6 +336,7 @@
     for (guint i = 0; i < p->failures->len; i++) {
         const struct rr_plan_failure *f = &g_array_index(p->failures, struct rr_plan_failure, i);
         if (same_demands(f->job, j) && rr_res_fits(f->job->need, j->need) &&
+            (j->s.shape != RR_GANG || f->job->s.pieces <= j->s.pieces) &&
             (wards & ~f->wards) == 0) {
             return true;
         }
@@ -350,8 +359,70 @@
     return !rr_record_fits(p->c, (e ? e->items->len : r->items->len) + 1);
 }
 
+/* Takes this plan's bookings of the gang back. */
+static void unbook(struct rr_planner *p, rr_job *j, uint32_t tasks) {
+    const struct rr_plan_edit *e = rr_job_run(j, 0)->edit;
+    rr_res *u = &g_array_index(p->c->team_booked, rr_res, j->team);
+    for (; tasks > 0; tasks--) {
+        rr_machine *m = g_array_index(e->items, rr_item, e->items->len - 1).m;
+        g_array_set_size(e->items, e->items->len - 1);
+        g_array_set_size(m->booked, m->booked->len - 1);
+        m->sim = rr_res_add(m->sim, j->need, 1);
+        *u = rr_res_add(*u, j->need, -1);
+    }
+}
+
+/* All tasks of the gang or none, in one record, under one attempt. While one waits for room it
+ * holds none, so that no two of them hold a half each. */
+static void place_gang(struct rr_planner *p, rr_job *j, int *left) {
+    rr_core *c = p->c;
+    guint n = c->wards.names->len;
+    bool wards[n + 1];
+    uint32_t by_ward[n + 1], task = 0;
+    struct zones z = {wards, by_ward, 0, true};
+    memset(wards, 0, sizeof wards);
+    memset(by_ward, 0, sizeof by_ward);
+    if (j->nplaced > 0 || !within_quota(p, j, j->s.pieces) ||
+        rr_job_count_by_ward(c, j, NULL, by_ward) > 0) {
+        return; /* an earlier attempt has tasks left, or the team has no room */
+    }
+    zones_update(p, j, &z);
+    uint64_t mask = ward_mask(c, wards), attempt = rr_next_attempt(c);
+    if (hopeless(p, j, mask)) {
+        j->failed_at = p->now;
+        return;
+    }
+    struct rr_choice how = {.wards = wards, .filter = rr_machine_usable};
+    bool any[n + 1];
+    memset(any, !rr_zone_bound(j), sizeof any);
+    struct rr_choice walk = how;
+    walk.wards = rr_zone_bound(j) ? wards : any;
+    rr_candidates(c, j, &walk, p->now, p->cands);
+    for (; task < j->s.pieces; task++) {
+        rr_machine *m = rr_choose_from(c, j, &how, p->cands);
+        if (!m || !book_as(p, m, j, task, attempt)) {
+            break;
+        }
+        z.by_ward[m->ward]++;
+        z.all++;
+        rr_job_wards_from(c, j, z.by_ward, z.all, z.allowed);
+    }
+    if (task < j->s.pieces) {
+        unbook(p, j, task);
+        if (!p->full) {
+            note_failure(p, j, mask);
+        }
+        return;
+    }
+    *left -= (int)task;
+}
+
 static void place_job(struct rr_planner *p, rr_job *j, int *left) {
     rr_core *c = p->c;
+    if (j->s.shape == RR_GANG) {
+        place_gang(p, j, left);
+        return;
+    }
     guint n = c->wards.names->len;
     bool wards[n + 1];
     uint32_t by_ward[n + 1];
@@ -384,7 +455,7 @@
             task = task - task % j->per + j->per - 1;
             continue;
         }
-        if (!within_quota(p, j)) {
+        if (!within_quota(p, j, 1)) {
             return;
         }
         if (!place_task(p, j, task, &how)) {
@@ -514,7 +585,7 @@
         rr_job_wards(c, mv.job, wards, old);
         if (!old || mv.job->cancelled || !rr_machine_usable(c, mv.to, p->now) ||
             !rr_res_fits(mv.job->need, mv.to->sim) || !wards[mv.to->ward] ||
-            !within_quota(p, mv.job) || !book(p, mv.to, mv.job, mv.task)) {
+            !within_quota(p, mv.job, 1) || !book(p, mv.to, mv.job, mv.task)) {
             /* A move that fails ends the plan. */
             g_array_set_size(c->plan_moves, 0);
             return;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -54,18 +54,31 @@
 
 static void take_overs(struct rr_planner *p, struct rr_plan_edit *e);
 
+/* Placements of the record known to be over. */
+static guint overs_of(const struct rr_planner *p, const rr_run *r) {
+    guint over = 0;
+    for (guint n = r->overs; n > 0; over++) {
+        n = g_array_index(p->overs, struct rr_plan_over, n - 1).next;
+    }
+    return over;
+}
+
 /* A record of before the state service's limits were lowered may be larger than they allow now: it
  * can't be written again until enough of its placements are over, which one change then takes out.
  * Until the lower limits are seen to hold it may, as long as it does not grow. */
 static bool writable(const struct rr_planner *p, const rr_run *r) {
-    guint over = 0;
     if (!p->c->lowered || rr_record_fits(p->c, r->items->len)) {
         return true;
     }
-    for (guint n = r->overs; n > 0; over++) {
-        n = g_array_index(p->overs, struct rr_plan_over, n - 1).next;
-    }
-    return rr_record_fits(p->c, r->items->len - MIN(over, r->items->len));
+    return rr_record_fits(p->c, r->items->len - MIN(overs_of(p, r), r->items->len));
+}
+
+/* A gang's placements leave the ledger together: none before all are over, so that no task of it is
+ * placed anew beside an old one, and what was seen of the first loss stays to be seen. Once it is
+ * done or cancelled each goes by itself. */
+static bool gang_goes(const struct rr_planner *p, const rr_job *j, const rr_run *r) {
+    return j->s.shape != RR_GANG || j->cancelled || j->done || j->over > 0 ||
+           overs_of(p, r) >= r->items->len;
 }
 
 struct rr_plan_edit *rr_edit_of(struct rr_planner *p, rr_job *j, uint32_t chunk) {
@@ -74,7 +87,7 @@
         return r->edit;
     }
     size_t bytes = rr_run_bytes(r->items->len + 1) + 120;
-    if (!writable(p, r)) {
+    if (!writable(p, r) || !gang_goes(p, j, r)) {
         return NULL;
     }
     if (!txn_room(p, 1, bytes)) {
@@ -149,10 +162,32 @@
     }
 }
 
+/* One task of a gang is done, and so are all. False: the transaction has no room for the end. */
+static bool gang_done(struct rr_planner *p, struct rr_plan_edit *e, const struct rr_plan_over *o) {
+    rr_job *j = o->job;
+    if (j->finishing > 0) {
+        return true;
+    }
+    if (!has_room(p, 1, 200)) {
+        return false;
+    }
+    p->ops++;
+    j->finishing = j->s.pieces;
+    for (uint32_t t = 0; t < j->s.pieces; t++) {
+        g_array_append_val(e->done, t);
+    }
+    e->zone = o->m->ward;
+    return true;
+}
+
 /* Takes a placement out of its record, with its completion if there is one to record. */
 static void take_over(struct rr_planner *p, struct rr_plan_edit *e, const struct rr_plan_over *o) {
     rr_job *j = o->job;
-    if (o->done && !j->cancelled && !rr_job_task_done(j, o->task) && !done_in(e, o->task)) {
+    if (j->s.shape == RR_GANG) {
+        if (o->done && !j->cancelled && !j->done && !gang_done(p, e, o)) {
+            return;
+        }
+    } else if (o->done && !j->cancelled && !rr_job_task_done(j, o->task) && !done_in(e, o->task)) {
         /* The last one ends the job: a change more. */
         bool last = j->ndone + j->finishing + 1 >= j->s.pieces;
         if (last && !has_room(p, 1, 200)) {
@@ -194,7 +229,7 @@
     pl->over_at = pl->over_at > 0 ? pl->over_at : p->now;
     o.wait = p->now - pl->over_at < GATHER_S * p->c->pressure;
     if (done && !rr_job_task_done(j, pl->task)) {
-        j->over++;
+        j->over = j->s.shape == RR_GANG ? j->s.pieces : j->over + 1;
     }
     g_array_append_val(p->overs, o);
     r->overs = p->overs->len;
@@ -204,6 +239,16 @@
     return !j->cancelled && j->ndone + j->over >= j->s.pieces;
 }
 
+#define TOGETHER_S 1.0 /* a gang's tasks complete together; their reports come within this */
+
+/* The end of a gang waits for the reports of its other tasks, a little, and is one change then. */
+static bool waits_for_gang(const struct rr_planner *p, const struct rr_plan_over *o) {
+    const rr_job *j = o->job;
+    const rr_place *pl = rr_place_find(o->m, o->attempt, j, o->task);
+    return j->s.shape == RR_GANG && o->done && pl && p->now - pl->over_at < TOGETHER_S &&
+           overs_of(p, g_ptr_array_index(j->runs, 0)) < j->nplaced;
+}
+
 static bool lost(const struct rr_plan_over *o) {
     return !o->done && !o->job->cancelled;
 }
@@ -216,10 +261,10 @@
 static void record_overs(struct rr_planner *p) {
     for (guint i = 0; i < p->overs->len; i++) {
         const struct rr_plan_over *o = &g_array_index(p->overs, struct rr_plan_over, i);
-        if (lost(o)) {
+        if (lost(o) && gang_goes(p, o->job, rr_job_run(o->job, o->task / o->job->per))) {
             reopen(p, o->job, o->task);
         }
-        if (o->evicted || (!lost(o) && (!o->wait || finishes(o->job)))) {
+        if (!waits_for_gang(p, o) && (o->evicted || (!lost(o) && (!o->wait || finishes(o->job))))) {
             rr_edit_of(p, o->job, o->task / o->job->per);
         }
     }
@@ -282,8 +327,8 @@
     rr_run_key(j->s.ref, e->run->chunk, key, sizeof key);
     bool ends = j->finishing > 0 && j->ndone + j->finishing >= j->s.pieces;
     bool over = ends || j->cancelled || j->done;
-    if (over && e->items->len == 0 && e->run->mark == 0) {
-        return;
+    if ((over || j->s.shape == RR_GANG) && e->items->len == 0 && e->run->mark == 0) {
+        return; /* nothing to delete; or a gang that found no room after all */
     }
     rr_txn_guard(t, key, e->run->mark);
     if (over && e->items->len == 0) {
--- a/src/core/reconcile.c
+++ b/src/core/reconcile.c
@@ -42,8 +42,8 @@
 }
 
 static const char *cause_name(enum rr_cause cause) {
-    static const char *const names[] = {"ended", "done",   "halted",  "error",
-                                        "full",  "in use", "no such", "ended"};
+    static const char *const names[] = {"ended",  "done",    "halted", "error",      "full",
+                                        "in use", "no such", "peers",  "incomplete", "ended"};
     return names[cause];
 }
 
@@ -66,16 +66,26 @@
     return false;
 }
 
-static bool unwanted(const rr_machine *m, const rr_place *pl) {
+static bool unwanted(const struct rr_planner *p, const rr_machine *m, const rr_place *pl) {
+    bool saving;
+    if (pl->job->s.shape == RR_GANG && rr_gang_stops(p->c, pl->job, p->now, &saving)) {
+        return true;
+    }
     return pl->job->cancelled || rr_job_task_done(pl->job, pl->task) || pl->evict ||
            m->rep.recall_s >= 0;
 }
 
 /* Time to save: what the aim of the work that waits, or the notice, leaves. */
-static double leave_for(const rr_machine *m, const rr_place *pl) {
+static double leave_for(const struct rr_planner *p, const rr_machine *m, const rr_place *pl) {
+    bool saving = true;
     if (pl->job->cancelled || pl->job->done || pl->job->s.cairn_s <= 0) {
         return 0;
     }
+    /* A gang saves whole: who has saved waits for those that were told last. */
+    if (pl->job->s.shape == RR_GANG) {
+        rr_gang_stops(p->c, pl->job, p->now, &saving);
+        return saving ? pl->job->s.stash_s + p->c->cfg->gang_peer_s : 0;
+    }
     if (pl->evict == RR_EVICT_AT_ONCE) {
         return 0;
     }
@@ -87,7 +97,7 @@
 }
 
 static void stop_place(struct rr_planner *p, rr_machine *m, rr_place *pl, const rr_piece *r) {
-    double leave = leave_for(m, pl);
+    double leave = leave_for(p, m, pl);
     /* A task that is saving is left to it, unless its user has cancelled the job. */
     if (pl->stop_at > 0 && p->now - pl->stop_at < RESEND_S) {
         return;
@@ -95,6 +105,12 @@
     if (r && r->standing == RR_FLUSHING && leave > 0) {
         return;
     }
+    /* Told to save, a gang is left to it for as long as that takes: another stop without grace, as
+     * one exits and the gang counts as lost, would undo what the others save. */
+    if (pl->job->s.shape == RR_GANG && pl->stop_leave > 0 && !pl->job->cancelled &&
+        p->now - pl->stop_at < pl->stop_leave) {
+        return;
+    }
     if (!r && !start_lost(p->c, m, pl->attempt)) {
         return;
     }
@@ -106,6 +122,7 @@
     }
     order(p, m, RR_STOP, pl->job->s.ref, pl->task, pl->attempt, leave);
     pl->stop_at = p->now;
+    pl->stop_leave = leave;
 }
 
 /* Booked over others that are to go first: the machine would refuse it now. Where nothing is to go,
@@ -148,7 +165,7 @@
         rr_plan_over(p, m, pl, r->cause == RR_DONE, cause_name(r->cause));
         return true;
     }
-    bool stop = unwanted(m, pl);
+    bool stop = unwanted(p, m, pl);
     if (r && !stop) {
         return false;
     }
@@ -258,6 +275,36 @@
     return again;
 }
 
+/* Gangs of ours with a task on a machine that something happened to. */
+static void note_gangs(const struct rr_planner *p, const rr_machine *m, GPtrArray *gangs) {
+    for (guint i = 0; i < m->places->len; i++) {
+        rr_job *j = g_array_index(m->places, rr_place, i).job;
+        if (j->s.shape == RR_GANG && j->team >= 0 && rr_owns_team(p->c, j->team) &&
+            !g_ptr_array_find(gangs, j, NULL)) {
+            g_ptr_array_add(gangs, j);
+        }
+    }
+}
+
+/* What happened to one task of a gang is to be seen on the machines of all, and now: they stop in
+ * the same moment. */
+static void reconcile_gangs(struct rr_planner *p, const GPtrArray *gangs) {
+    bool saving;
+    for (guint i = 0; i < gangs->len; i++) {
+        rr_job *j = g_ptr_array_index(gangs, i);
+        if (!rr_gang_stops(p->c, j, p->now, &saving)) {
+            continue;
+        }
+        const rr_run *run = rr_job_run(j, 0);
+        for (guint k = 0; k < run->items->len; k++) {
+            rr_machine *m = g_array_index(run->items, rr_item, k).m;
+            if (!m->dirty && reconcile(p, m)) {
+                rr_touch(p->c, m);
+            }
+        }
+    }
+}
+
 void rr_reconcile(struct rr_planner *p) {
     rr_core *c = p->c;
     if (c->all_dirty_token != c->term.token) {
@@ -267,12 +314,16 @@
         }
     }
     guint n = c->dirty->len, kept = 0;
+    GPtrArray *gangs = g_ptr_array_new(); /* rr_job* */
     for (guint i = 0; i < n; i++) {
         rr_machine *m = g_ptr_array_index(c->dirty, i);
+        note_gangs(p, m, gangs);
         m->dirty = reconcile(p, m);
         if (m->dirty) {
             c->dirty->pdata[kept++] = m;
         }
     }
     g_ptr_array_set_size(c->dirty, (gint)kept);
+    reconcile_gangs(p, gangs);
+    g_ptr_array_free(gangs, TRUE);
 }
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -22,7 +22,8 @@
     for (guint i = 0; i < m->rep.pieces->len; i++) {
         const rr_piece *p = &g_array_index(m->rep.pieces, rr_piece, i);
         const rr_job *j = g_hash_table_lookup(c->jobs, p->ref);
-        if (!j || j->cast < 0 || p->standing != RR_RUNNING || rr_machine_has_cast(m, j->cast)) {
+        bool fetched = p->standing == RR_RUNNING || p->standing == RR_WAITING;
+        if (!j || j->cast < 0 || !fetched || rr_machine_has_cast(m, j->cast)) {
             continue;
         }
         g_array_append_val(m->casts, j->cast);
--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -738,6 +738,17 @@
     }
 }
 
+/* Room for a gang in one zone is of no use in pieces over several: the zone in which most of it
+ * fits now, or else any one of those allowed. */
+static void one_ward(struct sim *s, const rr_job *j, bool *wards) {
+    rr_core *c = s->c;
+    int best = rr_zone_most_room(c, j, wards, s->now);
+    for (guint w = 0; w < c->wards.names->len; w++) {
+        best = best < 0 && wards[w] ? (int)w : best;
+        wards[w] = (int)w == best;
+    }
+}
+
 static void demand_waiting(struct sim *s) {
     const rr_core *c = s->c;
     count_lost(c);
@@ -754,6 +765,9 @@
             continue;
         }
         rr_job_wards(c, j, wards, NULL);
+        if (j->s.shape == RR_GANG && j->s.one_zone) {
+            one_ward(s, j, wards);
+        }
         /* No more than the team's limit lets run at a time, and than can be rented soon. */
         n = MIN(n, 5000);
         if (t->cpus_max > 0 && j->need.cpu > 0) {
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -17,9 +17,24 @@
     return c->rereading || (s && s->tether == tether); /* a reread has not come to it yet */
 }
 
+/* What this version can do beyond the first ones, told in its session's record. Those pass over the
+ * field. */
+#define ABLE_GANGS 1
+
 void rr_core_node_put(rr_out *o, uint64_t tether) {
-    rr_put_map(o, 1);
+    rr_put_map(o, 2);
     rr_put_key_u64(o, "tether", tether);
+    rr_put_key_u64(o, "able", ABLE_GANGS);
+}
+
+bool rr_all_able(const rr_core *c) {
+    bool all = c->term.nodes->len > 0;
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        const rr_session *t = &g_array_index(c->term.nodes, rr_session, i);
+        const rr_session *s = g_hash_table_lookup(c->sessions, t->name);
+        all = all && s && s->tether == t->tether && s->able >= ABLE_GANGS;
+    }
+    return all;
 }
 
 static const rr_session *term_node(const rr_core *c, const char *name) {
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -52,7 +52,7 @@
         *why = "unknown crew";
         return RR_ADMIT_NEVER;
     }
-    double n = s->shape == RR_SERVICE ? s->pieces : 1;
+    double n = s->shape == RR_BATCH ? 1 : s->pieces;
     if ((t->cpus_max > 0 && n * s->vcpus > t->cpus_max + RR_EPS) ||
         (t->gpus_max > 0 && n * s->cards > t->gpus_max + RR_EPS)) {
         *why = "over the crew's limit";
@@ -66,6 +66,14 @@
         *why = "fits no allowed machine type";
         return RR_ADMIT_NEVER;
     }
+    if (s->shape == RR_GANG && s->pieces > rr_gang_most(c)) {
+        *why = "more linked tasks than one record of the ledger holds";
+        return RR_ADMIT_NEVER;
+    }
+    if (s->shape == RR_GANG && !rr_all_able(c)) {
+        *why = "an older version still serves";
+        return RR_ADMIT_UNKNOWN_YET;
+    }
     return RR_ADMIT_OK;
 }
 
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -8,7 +8,7 @@
 
 #define AMOUNT_MAX 1e9
 
-static const char *const shapes[] = {"batch", "service"};
+static const char *const shapes[] = {"batch", "service", "group"};
 static const char *const ranks[] = {"low", "standard", "high", "prod"};
 static const char *const verbs[] = {"start", "stop", "reap"};
 
@@ -101,7 +101,7 @@
     NEED(get_name(o, "lane", s->lane, sizeof s->lane), "lane");
     NEED(get_name(o, "crew", s->crew, sizeof s->crew), "crew");
     NEED(get_name(o, "cast", s->cast, sizeof s->cast), "cast");
-    int shape = index_of(rr_get(o, "shape"), shapes, 2);
+    int shape = index_of(rr_get(o, "shape"), shapes, G_N_ELEMENTS(shapes));
     NEED(shape >= 0, "shape");
     int rank = index_of(rr_get(o, "rank"), ranks, 4);
     NEED(rank >= 0, "rank");
@@ -179,15 +179,16 @@
 }
 
 static enum rr_cause cause_of(const msgpack_object *o) {
-    static const char *const names[] = {"done", "halted", "error", "full", "in_use", "no_such"};
-    int i = index_of(o, names, 6);
+    static const char *const names[] = {"done",   "halted",  "error", "full",
+                                        "in_use", "no_such", "peers", "incomplete"};
+    int i = index_of(o, names, G_N_ELEMENTS(names));
     return i < 0 ? RR_CAUSE_OTHER : (enum rr_cause)(RR_DONE + i);
 }
 
 static bool piece_decode(const msgpack_object *o, rr_piece *p) {
-    static const char *const names[] = {"fetching", "running", "flushing", "ended"};
+    static const char *const names[] = {"fetching", "running", "flushing", "ended", "waiting"};
     char text[2 * RR_ID];
-    int standing = index_of(rr_get(o, "standing"), names, 4);
+    int standing = index_of(rr_get(o, "standing"), names, G_N_ELEMENTS(names));
     if (!rr_get_text(o, "piece", text, sizeof text) ||
         !rr_piece_parse(text, p->ref, sizeof p->ref, &p->task) ||
         !rr_get_u64(o, "try", &p->attempt)) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -58,7 +58,8 @@
 void rr_put_key_bool(rr_out *o, const char *k, bool v);
 
 /* ---- users ---- */
-enum rr_shape { RR_BATCH, RR_SERVICE };
+/* Of a gang ("group" in messages) all tasks run at the same time, or none does. */
+enum rr_shape { RR_BATCH, RR_SERVICE, RR_GANG };
 enum rr_rank { RR_LOW, RR_STANDARD, RR_HIGH, RR_PROD };
 
 typedef struct {
@@ -82,7 +83,7 @@
 bool rr_ref_valid(const char *ref);
 
 /* ---- workers ---- */
-enum rr_standing { RR_FETCHING, RR_RUNNING, RR_FLUSHING, RR_ENDED };
+enum rr_standing { RR_FETCHING, RR_RUNNING, RR_FLUSHING, RR_ENDED, RR_WAITING };
 enum rr_cause {
     RR_CAUSE_NONE,
     RR_DONE,
@@ -91,6 +92,8 @@
     RR_FULL,
     RR_IN_USE,
     RR_NO_SUCH,
+    RR_PEERS,      /* another task of the gang is gone */
+    RR_INCOMPLETE, /* the gang was not complete in time */
     RR_CAUSE_OTHER
 };
 
--- /dev/null
+++ b/tests/test_core_gang.c
@@ -0,0 +1,482 @@
+/* Gangs: all tasks run at the same time or none does, through every phase and every loss. */
+#include "fakes.h"
+
+#include "core/model.h"
+
+#include <string.h>
+
+#define MACHINES 6
+
+static int setup(void **state) {
+    fx_world_setup(state);
+    fx_world *w = *state;
+    for (int i = 1; i <= MACHINES; i++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "vm-%d", i);
+        fx_machine(w->store, id, i <= 3 ? "a" : "b", false, true);
+    }
+    fx_sync(w->store, w->n.core, w->n.now);
+    return 0;
+}
+
+static const struct fx_job gang = {.ref = "req-1",
+                                   .gang = true,
+                                   .one_zone = true,
+                                   .pieces = 3,
+                                   .cpu = 10,
+                                   .cairn_s = 20,
+                                   .stash_s = 3,
+                                   .rank = "high"};
+
+/* What a machine shows of the gang: its tasks there in this standing; NULL: none. */
+static void show(fx_node *n, int m, const char *ref, const char *standing, uint64_t tenure,
+                 double recall) {
+    static uint64_t tally = 1;
+    char id[16], *text[5] = {NULL};
+    int k = 0;
+    g_snprintf(id, sizeof id, "vm-%d", m);
+    for (uint32_t t = 0; standing && t < 8 && k < 4; t++) {
+        uint64_t at = fx_booked(n->store, id, ref, t);
+        if (at) {
+            text[k++] = g_strdup_printf("%s %u %" G_GUINT64_FORMAT " %s", ref, t, at, standing);
+        }
+    }
+    n->recall_s = recall;
+    fx_report(n, id, m <= 3 ? "a" : "b", false, tenure, ++tally, rr_core_token(n->core), text[0],
+              text[1], text[2], text[3], NULL);
+    n->recall_s = -1;
+    for (int i = 0; i < k; i++) {
+        g_free(text[i]);
+    }
+}
+
+static void show_all(fx_node *n, const char *ref, const char *standing) {
+    for (int m = 1; m <= MACHINES; m++) {
+        show(n, m, ref, standing, 1, -1);
+    }
+}
+
+/* One plan, answered: how many orders of this verb went out for the job, and the least grace. */
+static unsigned plan(fx_node *n, enum rr_verb verb, const char *ref, double *leave) {
+    rr_plan p;
+    unsigned found = 0;
+    double least = 1e9;
+    fx_plan(n, &p);
+    for (guint i = 0; i < p.dos->len; i++) {
+        rr_do *d = g_ptr_array_index(p.dos, i);
+        for (guint k = 0; k < d->orders->len; k++) {
+            const rr_order *o = &g_array_index(d->orders, rr_order, k);
+            if (o->verb == verb && strcmp(o->ref, ref) == 0) {
+                found++;
+                least = o->leave_s < least ? o->leave_s : least;
+            }
+        }
+        rr_core_do_result(n->core, n->now, d, RR_DO_ANSWERED, true);
+    }
+    rr_plan_clear(&p);
+    if (leave) {
+        *leave = least;
+    }
+    return found;
+}
+
+static enum rr_gang_phase phase(const fx_node *n, const char *ref) {
+    return rr_gang_phase(n->core, g_hash_table_lookup(n->core->jobs, ref), n->now);
+}
+
+/* Submits the gang, books and starts it. */
+static void start(fx_world *w, const struct fx_job *j) {
+    fx_node *n = &w->n;
+    show_all(n, j->ref, NULL);
+    fx_submit(w->store, j, n->now);
+    fx_sync(w->store, n->core, n->now);
+    plan(n, RR_START, j->ref, NULL);
+    assert_int_equal(plan(n, RR_START, j->ref, NULL), j->pieces);
+}
+
+static int machine_of(const fx_world *w, uint32_t task, uint64_t *attempt) {
+    for (int m = 1; m <= MACHINES; m++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "vm-%d", m);
+        *attempt = fx_booked(w->store, id, "req-1", task);
+        if (*attempt) {
+            return m;
+        }
+    }
+    return 0;
+}
+
+static void booked_together(void **state) {
+    fx_world *w = *state;
+    uint64_t first, at;
+    start(w, &gang);
+    assert_int_equal(fx_placed(w->store, "req-1"), 3);
+    int zone = machine_of(w, 0, &first) <= 3;
+    for (uint32_t t = 1; t < 3; t++) {
+        assert_int_equal(machine_of(w, t, &at) <= 3, zone);
+        assert_true(at == first); /* they find each other by it */
+    }
+}
+
+/* Every event in every phase. Each row brings a gang into a phase, lets one thing happen to one of
+ * its machines, and says which phase it is in then and whether its tasks are stopped, with time to
+ * save or without. */
+static void every_event_in_every_phase(void **state) {
+    enum event { NOTHING, ENDED_PEERS, ENDED_DONE, TENURE, GONE, NOTICE, ABSENT, CANCEL, EVENTS };
+    static const char *const shown_in[] = {NULL, NULL, "waiting", "running"};
+    (void)state;
+    for (int before = RR_GANG_BOOKED; before <= RR_GANG_RUNNING; before++) {
+        for (int e = NOTHING; e < EVENTS; e++) {
+            fx_world *w;
+            uint64_t at;
+            double leave;
+            setup((void **)&w);
+            fx_node *n = &w->n;
+            start(w, &gang);
+            assert_int_equal(phase(n, "req-1"), RR_GANG_BOOKED);
+            if (before != RR_GANG_BOOKED) {
+                show_all(n, "req-1", shown_in[before]);
+            }
+            assert_int_equal(phase(n, "req-1"), before);
+            int m = machine_of(w, 1, &at);
+            char id[16];
+            g_snprintf(id, sizeof id, "vm-%d", m);
+            n->now += 2;
+            show_all(n, "req-1", shown_in[before]);
+            switch ((enum event)e) {
+            case NOTHING:
+            case EVENTS:
+                break;
+            case ENDED_PEERS:
+                show(n, m, "req-1", "ended:peers", 1, -1);
+                break;
+            case ENDED_DONE:
+                show(n, m, "req-1", "ended:done", 1, -1);
+                break;
+            case TENURE:
+                show(n, m, "req-1", NULL, 2, -1);
+                break;
+            case GONE:
+                fx_machine_gone(w->store, id);
+                fx_sync(w->store, n->core, n->now);
+                break;
+            case NOTICE:
+                show(n, m, "req-1", shown_in[before], 1, 20);
+                break;
+            case ABSENT:
+                n->now += n->cfg.gang_wait_s * 0.6;
+                show_all(n, "req-1", shown_in[before]);
+                show(n, m, "req-1", NULL, 1, -1);
+                break;
+            case CANCEL:
+                fx_cancel(n, "req-1");
+                break;
+            }
+            enum rr_gang_phase is = phase(n, "req-1");
+            bool shown = before != RR_GANG_BOOKED;
+            enum rr_gang_phase want =
+                e == CANCEL ? RR_GANG_ENDING
+                : e == NOTHING || (!shown && e != TENURE && e != GONE && e != ENDED_DONE &&
+                                   e != ENDED_PEERS && e != ABSENT)
+                    ? (enum rr_gang_phase)before
+                : e == ENDED_DONE ? RR_GANG_ENDING
+                                  : RR_GANG_STOPPING;
+            assert_int_equal(is, want);
+            unsigned stops = plan(n, RR_STOP, "req-1", &leave);
+            unsigned others = !shown ? 0 : e == NOTHING ? 0 : e == NOTICE || e == CANCEL ? 3 : 2;
+            assert_int_equal(stops, others);
+            if (stops > 0) {
+                bool saves = e == NOTICE;
+                assert_true(saves ? leave >= 3 : leave == 0);
+            }
+            fx_world_teardown((void **)&w);
+        }
+    }
+}
+
+/* One of a running gang is lost with its machine's lease; the others are told at once and exit. Not
+ * before all are proven over is anything placed anew, then all of them, under a new attempt. */
+static void lost_and_brought_back(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    uint64_t first, at, other;
+    start(w, &gang);
+    show_all(n, "req-1", "running");
+    plan(n, RR_START, "req-1", NULL);
+    int m = machine_of(w, 1, &first);
+    n->now += 1;
+    show(n, m, "req-1", NULL, 2, -1);
+    assert_int_equal(plan(n, RR_STOP, "req-1", NULL), 2);
+    for (int i = 0; i < 6; i++) { /* one of the others goes on, or can't be heard */
+        n->now += 1;
+        int slow = machine_of(w, 2, &at);
+        for (int k = 1; k <= MACHINES; k++) {
+            if (k != slow) {
+                show(n, k, "req-1", k == m ? NULL : "ended:peers", k == m ? 2 : 1, -1);
+            }
+        }
+        plan(n, RR_STOP, "req-1", NULL);
+        assert_int_equal(fx_placed(w->store, "req-1"), 3);
+        assert_true(machine_of(w, 2, &at) == slow && at == first);
+    }
+    n->now += 1;
+    for (int k = 1; k <= MACHINES; k++) {
+        show(n, k, "req-1", k == m ? NULL : "ended:peers", k == m ? 2 : 1, -1);
+    }
+    for (int i = 0; i < 3; i++) {
+        plan(n, RR_REAP, "req-1", NULL);
+        n->now += 0.5;
+    }
+    assert_int_equal(fx_placed(w->store, "req-1"), 3);
+    machine_of(w, 0, &at);
+    assert_true(at > first);
+    for (uint32_t t = 1; t < 3; t++) {
+        machine_of(w, t, &other);
+        assert_true(other == at);
+    }
+}
+
+/* One done means all are: the job ends with one change, and is called done by nobody before. */
+static void done_together(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_job_view v;
+    uint64_t at;
+    start(w, &gang);
+    show_all(n, "req-1", "running");
+    plan(n, RR_START, "req-1", NULL);
+    rr_core_job_view(n->core, "req-1", n->now, &v);
+    assert_string_equal(v.standing, "running");
+    n->now += 30;
+    show_all(n, "req-1", "running");
+    int m = machine_of(w, 0, &at);
+    uint64_t before = w->store->epoch;
+    show(n, m, "req-1", "ended:done", 1, -1);
+    plan(n, RR_REAP, "req-1", NULL);
+    n->now += 0.5;
+    show_all(n, "req-1", "ended:done");
+    plan(n, RR_REAP, "req-1", NULL);
+    rr_core_job_view(n->core, "req-1", n->now, &v);
+    assert_true(v.done && v.ndone == 3);
+    assert_int_equal(w->store->epoch, before + 1);
+    assert_int_equal(fx_placed(w->store, "req-1"), 0);
+}
+
+/* Done on one machine while another can't be heard: the user is told in time, and what is left goes
+ * when it is proven over. */
+static void done_with_one_unheard(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_job_view v;
+    uint64_t at;
+    start(w, &gang);
+    show_all(n, "req-1", "running");
+    n->now += 30;
+    show_all(n, "req-1", "running");
+    show(n, machine_of(w, 0, &at), "req-1", "ended:done", 1, -1);
+    for (int i = 0; i < 4; i++) {
+        plan(n, RR_REAP, "req-1", NULL);
+        n->now += 0.5;
+    }
+    rr_core_job_view(n->core, "req-1", n->now, &v);
+    assert_true(v.done);
+    assert_int_equal(fx_placed(w->store, "req-1"), 2);
+    show_all(n, "req-1", "ended:done");
+    plan(n, RR_REAP, "req-1", NULL);
+    assert_int_equal(fx_placed(w->store, "req-1"), 0);
+}
+
+/* Told to save, the gang is left to it: no second stop without grace follows the first exit. */
+static void a_notice_saves_all(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    uint64_t at;
+    double leave;
+    start(w, &gang);
+    show_all(n, "req-1", "running");
+    plan(n, RR_START, "req-1", NULL);
+    int m = machine_of(w, 0, &at);
+    show(n, m, "req-1", "running", 1, 20);
+    assert_int_equal(plan(n, RR_STOP, "req-1", &leave), 3);
+    assert_true(leave >= 3 && leave <= 3 + n->cfg.gang_peer_s);
+    n->now += 1.6;
+    show_all(n, "req-1", "flushing");
+    assert_int_equal(plan(n, RR_STOP, "req-1", NULL), 0);
+    n->now += 1.6;
+    show(n, m, "req-1", "ended:halted", 1, 18);
+    assert_int_equal(plan(n, RR_STOP, "req-1", NULL), 0);
+}
+
+/* The limit counts the whole gang, and a gang without room holds none: another that fits goes. */
+static void no_half_of_one(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    struct fx_job large = gang, small = gang, other = gang;
+    large.pieces = 4; /* ten CPUs of sixteen each: three machines a zone */
+    small.ref = "req-2";
+    small.pieces = 2;
+    other.ref = "req-3";
+    other.one_zone = false;
+    other.pieces = 4;
+    show_all(n, "req-1", NULL);
+    fx_submit(w->store, &large, n->now);
+    fx_submit(w->store, &small, n->now);
+    fx_sync(w->store, n->core, n->now);
+    plan(n, RR_START, "req-1", NULL);
+    assert_int_equal(fx_placed(w->store, "req-1"), 0);
+    assert_int_equal(fx_placed(w->store, "req-2"), 2);
+    fx_submit(w->store, &other, n->now);
+    fx_sync(w->store, n->core, n->now);
+    n->now += 0.1;
+    plan(n, RR_START, "req-3", NULL);
+    assert_int_equal(fx_placed(w->store, "req-3"), 4); /* over both zones */
+    n->cfg.teams[0].cpus_max = 90;
+    struct fx_job over = gang;
+    over.ref = "req-4";
+    over.one_zone = false;
+    over.cpu = 11;
+    over.pieces = 3;
+    fx_submit(w->store, &over, n->now);
+    fx_sync(w->store, n->core, n->now);
+    for (int i = 0; i < 4; i++) {
+        n->now += 1;
+        plan(n, RR_START, "req-4", NULL);
+    }
+    assert_int_equal(fx_placed(w->store, "req-4"), 0);
+}
+
+/* A start stays in doubt while the gang is given up: its copy may come late, so that the place is
+ * kept until the exited attempt blocks it; only then does the next attempt begin. */
+static void a_start_in_doubt(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    uint64_t first, at;
+    rr_plan p;
+    show_all(n, "req-1", NULL);
+    fx_submit(w->store, &gang, n->now);
+    fx_sync(w->store, n->core, n->now);
+    plan(n, RR_START, "req-1", NULL);
+    int m = machine_of(w, 0, &first);
+    char id[16];
+    g_snprintf(id, sizeof id, "vm-%d", m);
+    fx_plan(n, &p);
+    for (guint i = 0; i < p.dos->len; i++) {
+        rr_do *d = g_ptr_array_index(p.dos, i);
+        bool lost = strcmp(d->stone, id) == 0;
+        rr_core_do_result(n->core, n->now, d, lost ? RR_DO_DOUBT : RR_DO_ANSWERED, !lost);
+    }
+    rr_plan_clear(&p);
+    for (int k = 1; k <= MACHINES; k++) {
+        show(n, k, "req-1", k == m ? NULL : "ended:incomplete", 1, -1);
+    }
+    n->now += 1.6;
+    for (int k = 1; k <= MACHINES; k++) {
+        show(n, k, "req-1", k == m ? NULL : "ended:incomplete", 1, -1);
+    }
+    fx_plan(n, &p);
+    assert_non_null(fx_order(&p, id, RR_START, "req-1", 0));
+    assert_non_null(fx_order(&p, id, RR_STOP, "req-1", 0));
+    for (guint i = 0; i < p.dos->len; i++) {
+        rr_core_do_result(n->core, n->now, g_ptr_array_index(p.dos, i), RR_DO_ANSWERED, true);
+    }
+    rr_plan_clear(&p);
+    assert_true(machine_of(w, 0, &at) == m && at == first);
+    n->now += 1;
+    show_all(n, "req-1", "ended:halted");
+    for (int i = 0; i < 3; i++) {
+        plan(n, RR_REAP, "req-1", NULL);
+        n->now += 0.5;
+    }
+    machine_of(w, 0, &at);
+    assert_true(at > first);
+}
+
+/* A new owner reaches the same phase from the ledger and the reports, whatever the phase. */
+static void a_new_owner_reaches_the_same(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n, next;
+    uint64_t at;
+    start(w, &gang);
+    show_all(n, "req-1", "running");
+    int m = machine_of(w, 1, &at);
+    show(n, m, "req-1", "ended:peers", 1, -1);
+    assert_int_equal(phase(n, "req-1"), RR_GANG_STOPPING);
+    fx_node_init(&next, w->store, "n1");
+    next.now = n->now;
+    fx_reread(w->store, next.core, next.now);
+    fx_leave(n);
+    fx_join(&next, 9);
+    for (int k = 1; k <= MACHINES; k++) {
+        show(&next, k, "req-1", k == m ? "ended:peers" : "running", 1, -1);
+    }
+    assert_int_equal(phase(&next, "req-1"), RR_GANG_STOPPING);
+    assert_int_equal(plan(&next, RR_STOP, "req-1", NULL), 2);
+    fx_node_clear(&next);
+}
+
+/* What can never run is told so; while a version serves that knows no gangs, or comes back, one is
+ * asked to come again, and what was accepted stays; its cancellation by such a version holds. */
+static void admission(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_submission s;
+    const char *why = "";
+    struct fx_job j = gang;
+    fx_submission(&s, &j);
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_OK);
+    n->cfg.teams[0].cpus_max = 25;
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_NEVER);
+    n->cfg.teams[0].cpus_max = 30;
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_OK);
+    n->cfg.teams[0].cpus_max = 0;
+    s.pieces = 5000;
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_NEVER);
+    s.pieces = 3;
+    start(w, &gang);
+    show_all(n, "req-1", "running");
+    g_strlcpy(s.ref, "req-9", sizeof s.ref);
+    rr_out o; /* n1 comes back in the older version */
+    rr_out_init(&o);
+    rr_put_map(&o, 1);
+    rr_put_key_u64(&o, "tether", 44);
+    fx_put(w->store, RR_ROOT "node/n1", &o);
+    fx_term(n);
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_UNKNOWN_YET);
+    rr_job_view v;
+    rr_core_job_view(n->core, "req-1", n->now, &v);
+    assert_string_equal(v.standing, "running");
+    rr_out_init(&o); /* it could not read the job, and cancels it */
+    rr_put_map(&o, 3);
+    rr_put_key_text(&o, "ref", "req-1");
+    rr_put_key_text(&o, "shape", "batch");
+    rr_put_key_bool(&o, "cancelled", true);
+    fx_put(w->store, RR_ROOT "job/req-1", &o);
+    fx_sync(w->store, n->core, n->now);
+    rr_core_job_view(n->core, "req-1", n->now, &v);
+    assert_true(v.aborted);
+    rr_txn t;
+    rr_txn_init(&t);
+    rr_txn_delete(&t, RR_ROOT "node/n1");
+    assert_int_equal(fx_commit(w->store, &t), 0);
+    rr_txn_clear(&t);
+    fx_term(n);
+    show_all(n, "req-1", "running");
+    assert_int_equal(plan(n, RR_STOP, "req-1", NULL), 3);
+    assert_int_equal(rr_core_admit(n->core, &s, &why), RR_ADMIT_OK);
+}
+
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, fx_world_teardown)
+
+int main(void) {
+    const struct CMUnitTest tests[] = {T(booked_together),
+                                       cmocka_unit_test(every_event_in_every_phase),
+                                       T(lost_and_brought_back),
+                                       T(done_together),
+                                       T(done_with_one_unheard),
+                                       T(a_notice_saves_all),
+                                       T(no_half_of_one),
+                                       T(a_start_in_doubt),
+                                       T(a_new_owner_reaches_the_same),
+                                       T(admission)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
