--- /dev/null
+++ b/src/app/batch.c
@@ -0,0 +1,89 @@
+#include "app/batch.h"
+
+#include <string.h>
+
+#define BATCH_BYTES ((size_t)40 * 1024)
+
+/* The store counts JSON, which is longer than what is packed. */
+static size_t json_size(const struct rr_user_commit *u) {
+    return u->value.buf.size * 14 / 10 + 16;
+}
+
+/* A transaction guards and writes a key once. An acceptance whose answer was lost, on its way
+ * again, and the cancellation of the job that others had read meanwhile once went together: the
+ * guard of one stood for both, the later put won, and a job that was told to be cancelled ran on.
+ */
+static bool batch_has(const struct rr_user_batch *b, const char *key) {
+    for (guint i = 0; i < b->n; i++) {
+        if (strcmp(b->entries[i]->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool rr_user_batch_add(const struct rr_config *cfg, struct rr_user_batch *b,
+                       struct rr_user_commit *u) {
+    size_t size = json_size(u), most = (size_t)(rr_value_kb(cfg) * 1024) - 64;
+    bool joins = u->accepts && b->open > 0 && b->open + size <= most;
+    guint records = b->records + !joins;
+    if (b->n == RR_BATCH_MAX || batch_has(b, u->key) || records > (guint)rr_txn_ops(cfg) ||
+        b->bytes + size > BATCH_BYTES || b->n + 1 + records > 4 * (guint)rr_txn_ops(cfg)) {
+        return b->n == 0;
+    }
+    b->open = joins ? b->open + size : u->accepts ? size : b->open;
+    b->records = records;
+    b->bytes += size + 100;
+    b->joins[b->n] = joins;
+    b->entries[b->n++] = u;
+    return true;
+}
+
+static void put_alone(rr_txn *t, const struct rr_user_commit *u) {
+    rr_change ch = {g_strdup(u->key), g_memdup2(u->value.buf.data, u->value.buf.size),
+                    u->value.buf.size, 0};
+    g_array_append_val(t->changes, ch);
+}
+
+/* entries[from..to) are new jobs that share a record. */
+static void put_together(uint64_t tether, uint64_t *batches, rr_txn *t,
+                         struct rr_user_commit **entries, guint n) {
+    char key[96];
+    rr_out o;
+    if (n == 1) {
+        put_alone(t, entries[0]);
+        return;
+    }
+    rr_out_init(&o);
+    rr_core_batch_begin(&o, n);
+    for (guint i = 0; i < n; i++) {
+        msgpack_sbuffer_write(&o.buf, entries[i]->value.buf.data, entries[i]->value.buf.size);
+    }
+    rr_core_batch_key(tether, ++*batches, key, sizeof key);
+    rr_txn_guard(t, key, 0);
+    rr_txn_put(t, key, &o, 0);
+}
+
+/* Every job is guarded by its own key, batch or not: a cancellation or an earlier acceptance of it
+ * fails the transaction, and the others go again without it. */
+void rr_user_batch_txn(const struct rr_user_batch *b, uint64_t tether, uint64_t *batches,
+                       rr_txn *t) {
+    struct rr_user_commit *group[RR_BATCH_MAX];
+    guint n = 0;
+    for (guint i = 0; i < b->n; i++) {
+        struct rr_user_commit *u = b->entries[i];
+        rr_txn_guard(t, u->key, u->mark);
+        if (!u->accepts) {
+            put_alone(t, u);
+            continue;
+        }
+        if (n > 0 && !b->joins[i]) {
+            put_together(tether, batches, t, group, n);
+            n = 0;
+        }
+        group[n++] = u;
+    }
+    if (n > 0) {
+        put_together(tether, batches, t, group, n);
+    }
+}
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -1,6 +1,7 @@
 /* The long-lived duties, one thread each: session, term, watch, the users' committer and barrier,
  * planner, steward, senders. All block with a bound and look at `stop` after each wait. */
 #include "app/app.h"
+#include "app/batch.h"
 #include "app/clock.h"
 #include "app/log.h"
 #include "app/usage.h"
@@ -461,52 +462,6 @@
 
 /* ---- users' commits and barriers ---- */
 
-#define BATCH_BYTES ((size_t)40 * 1024)
-
-/* What one transaction takes of the queue: changes, guards (one a job, one a batch, four for each
- * change at most) and bytes are bounded. New jobs share records. */
-struct batch {
-    struct rr_user_commit *entries[RR_BATCH_MAX];
-    bool joins[RR_BATCH_MAX]; /* goes into the record of the new job before it */
-    guint n, records;         /* entries; changes that they make */
-    size_t bytes, open;       /* of all; of the record being filled, 0: none */
-};
-
-/* The store counts JSON, which is longer than what is packed. */
-static size_t json_size(const struct rr_user_commit *u) {
-    return u->value.buf.size * 14 / 10 + 16;
-}
-
-/* A transaction guards and writes a key once. An acceptance whose answer was lost, on its way
- * again, and the cancellation of the job that others had read meanwhile once went together: the
- * guard of one stood for both, the later put won, and a job that was told to be cancelled ran on.
- */
-static bool batch_has(const struct batch *b, const char *key) {
-    for (guint i = 0; i < b->n; i++) {
-        if (strcmp(b->entries[i]->key, key) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* False: it does not fit any more. */
-static bool batch_add(const struct rr_config *cfg, struct batch *b, struct rr_user_commit *u) {
-    size_t size = json_size(u), most = (size_t)(rr_value_kb(cfg) * 1024) - 64;
-    bool joins = u->accepts && b->open > 0 && b->open + size <= most;
-    guint records = b->records + !joins;
-    if (b->n == RR_BATCH_MAX || batch_has(b, u->key) || records > (guint)rr_txn_ops(cfg) ||
-        b->bytes + size > BATCH_BYTES || b->n + 1 + records > 4 * (guint)rr_txn_ops(cfg)) {
-        return b->n == 0;
-    }
-    b->open = joins ? b->open + size : u->accepts ? size : b->open;
-    b->records = records;
-    b->bytes += size + 100;
-    b->joins[b->n] = joins;
-    b->entries[b->n++] = u;
-    return true;
-}
-
 static void finish(struct rr_user_commit *u, enum rr_commit outcome) {
     u->outcome = outcome;
     u->finished = true;
@@ -523,7 +478,7 @@
     }
 }
 
-static void take_batch(struct rr_app *a, struct batch *b) {
+static void take_batch(struct rr_app *a, struct rr_user_batch *b) {
     memset(b, 0, sizeof *b);
     pthread_mutex_lock(&a->user_lock);
     while (!stopping(a) && g_queue_is_empty(&a->commits)) {
@@ -531,59 +486,12 @@
     }
     drop_expired(a);
     while (!g_queue_is_empty(&a->commits) &&
-           batch_add(&a->cfg, b, g_queue_peek_head(&a->commits)) && b->n > 0) {
+           rr_user_batch_add(&a->cfg, b, g_queue_peek_head(&a->commits)) && b->n > 0) {
         g_queue_pop_head(&a->commits);
     }
     pthread_mutex_unlock(&a->user_lock);
 }
 
-static void put_alone(rr_txn *t, const struct rr_user_commit *u) {
-    rr_change ch = {g_strdup(u->key), g_memdup2(u->value.buf.data, u->value.buf.size),
-                    u->value.buf.size, 0};
-    g_array_append_val(t->changes, ch);
-}
-
-/* entries[from..to) are new jobs that share a record. */
-static void put_together(struct rr_app *a, rr_txn *t, struct rr_user_commit **entries, guint n) {
-    char key[96];
-    rr_out o;
-    if (n == 1) {
-        put_alone(t, entries[0]);
-        return;
-    }
-    rr_out_init(&o);
-    rr_core_batch_begin(&o, n);
-    for (guint i = 0; i < n; i++) {
-        msgpack_sbuffer_write(&o.buf, entries[i]->value.buf.data, entries[i]->value.buf.size);
-    }
-    rr_core_batch_key(a->tether, ++a->batches, key, sizeof key);
-    rr_txn_guard(t, key, 0);
-    rr_txn_put(t, key, &o, 0);
-}
-
-/* Every job is guarded by its own key, batch or not: a cancellation or an earlier acceptance of it
- * fails the transaction, and the others go again without it. */
-static void batch_txn(struct rr_app *a, const struct batch *b, rr_txn *t) {
-    struct rr_user_commit *group[RR_BATCH_MAX];
-    guint n = 0;
-    for (guint i = 0; i < b->n; i++) {
-        struct rr_user_commit *u = b->entries[i];
-        rr_txn_guard(t, u->key, u->mark);
-        if (!u->accepts) {
-            put_alone(t, u);
-            continue;
-        }
-        if (n > 0 && !b->joins[i]) {
-            put_together(a, t, group, n);
-            n = 0;
-        }
-        group[n++] = u;
-    }
-    if (n > 0) {
-        put_together(a, t, group, n);
-    }
-}
-
 static bool listed(const GPtrArray *failed, const char *key) {
     for (guint i = 0; i < failed->len; i++) {
         if (strcmp(g_ptr_array_index(failed, i), key) == 0) {
@@ -619,7 +527,7 @@
     struct rr_app *a = app;
     rr_usage_enter(RR_USE_USERS);
     rr_store *s = open_store(a);
-    struct batch b;
+    struct rr_user_batch b;
     while (!stopping(a)) {
         take_batch(a, &b);
         if (b.n == 0) {
@@ -628,7 +536,7 @@
         rr_txn t;
         rr_txn_init(&t);
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
-        batch_txn(a, &b, &t);
+        rr_user_batch_txn(&b, a->tether, &a->batches, &t);
         uint64_t epoch = 0;
         double began = rr_now();
         enum rr_commit rc = rr_store_commit(s, RR_PRIO_USER, &t, 1.0, &epoch, failed);
--- /dev/null
+++ b/tests/test_batch.c
@@ -0,0 +1,102 @@
+/* Which of the users' changes share a transaction, and what it guards and writes. */
+#include "fakes.h"
+
+#include "app/batch.h"
+
+#include <string.h>
+
+static void entry(struct rr_user_commit *u, const char *ref, bool accepts, uint64_t mark,
+                  size_t bytes) {
+    char *body = g_strnfill(bytes, 'x');
+    memset(u, 0, sizeof *u);
+    rr_core_job_key(ref, u->key, sizeof u->key);
+    rr_out_init(&u->value);
+    rr_put_map(&u->value, 1);
+    rr_put_key_text(&u->value, "ref", body);
+    u->accepts = accepts;
+    u->mark = mark;
+    g_free(body);
+}
+
+static void config(struct rr_config *c) {
+    fx_config(c, "n0");
+}
+
+/* An acceptance was carried out together with others and its answer lost, so that it goes again,
+ * still guarded by the mark 0 of the job's own key. Its user, who has read the job elsewhere, calls
+ * it off here, guarded by the same mark. In one transaction both held, and the later put won: the
+ * job was told to be cancelled and ran on (went_back 178 times, ran_cancelled). In either order the
+ * second waits for the next transaction, where its guard tells what has come first. */
+static void a_key_is_written_once(void **state) {
+    (void)state;
+    struct rr_config cfg;
+    config(&cfg);
+    for (int cancel_first = 0; cancel_first < 2; cancel_first++) {
+        struct rr_user_commit u[3];
+        struct rr_user_batch b;
+        uint64_t batches = 0;
+        rr_txn t;
+        memset(&b, 0, sizeof b);
+        entry(&u[0], "req-1", !cancel_first, 0, 100);
+        entry(&u[1], "req-1", cancel_first, 0, 100);
+        entry(&u[2], "req-2", true, 0, 100);
+        assert_true(rr_user_batch_add(&cfg, &b, &u[0]));
+        assert_false(rr_user_batch_add(&cfg, &b, &u[1]));
+        assert_true(rr_user_batch_add(&cfg, &b, &u[2]));
+        rr_txn_init(&t);
+        rr_user_batch_txn(&b, 7, &batches, &t);
+        unsigned puts = 0;
+        for (guint i = 0; i < t.changes->len; i++) {
+            puts += strcmp(g_array_index(t.changes, rr_change, i).key, u[0].key) == 0;
+        }
+        assert_true(puts <= 1);
+        rr_txn_clear(&t);
+        for (int i = 0; i < 3; i++) {
+            rr_out_clear(&u[i].value);
+        }
+    }
+}
+
+/* Sizes and operations keep to the smaller of the present limits and those to come. */
+static void within_the_limits(void **state) {
+    (void)state;
+    struct rr_config cfg;
+    config(&cfg);
+    for (int next = 0; next < 2; next++) {
+        static struct rr_user_commit u[64];
+        struct rr_user_batch b;
+        uint64_t batches = 0;
+        char ref[32];
+        rr_txn t;
+        guint n = 0;
+        cfg.next_value_kb = next ? 2 : 0;
+        cfg.next_txn_ops = next ? 4 : 0;
+        memset(&b, 0, sizeof b);
+        for (int i = 0; i < 64; i++) {
+            g_snprintf(ref, sizeof ref, "req-%d", i + 1);
+            entry(&u[i], ref, i % 4 != 0, 0, 400);
+        }
+        while (n < 64 && rr_user_batch_add(&cfg, &b, &u[n])) {
+            n++;
+        }
+        rr_txn_init(&t);
+        rr_user_batch_txn(&b, 7, &batches, &t);
+        assert_true(n > 2 && n < 64);
+        assert_true(t.changes->len <= (guint)rr_txn_ops(&cfg));
+        assert_true(t.guards->len <= 4 * (guint)rr_txn_ops(&cfg));
+        for (guint i = 0; i < t.changes->len; i++) {
+            size_t len = g_array_index(t.changes, rr_change, i).len;
+            assert_true((double)len <= rr_value_kb(&cfg) * 1024);
+        }
+        rr_txn_clear(&t);
+        for (int i = 0; i < 64; i++) {
+            rr_out_clear(&u[i].value);
+        }
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(a_key_is_written_once),
+                                       cmocka_unit_test(within_the_limits)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -232,44 +232,6 @@
     stop_app(b);
 }
 
-struct submitting {
-    const struct rr_app *a;
-    const char *ref;
-    int status;
-};
-
-static void *submit_thread(void *arg) {
-    struct submitting *s = arg;
-    s->status = submit(s->a, s->ref, 1, true);
-    return NULL;
-}
-
-/* An acceptance is carried out and its answer lost; others read the job, and its user calls it off
- * at the node that is about to repeat the acceptance. The two must not share a transaction: whoever
- * was told that the job is cancelled is told nothing else again. */
-static void a_repeat_beside_a_cancellation(void **state) {
-    struct service *s = *state;
-    char ref[32], got[32];
-    for (int i = 0; i < 3; i++) {
-        g_snprintf(ref, sizeof ref, "req-%06d", 615001 + i);
-        struct submitting sub = {s->app, ref, 0};
-        pthread_t t;
-        world_drop_next_answer(s->w);
-        assert_int_equal(pthread_create(&t, NULL, submit_thread, &sub), 0);
-        wait_standing(s->app, ref, "queued");
-        double until = rr_now() + 10;
-        while (cancel(s->app, ref) != 200) {
-            assert_true(rr_now() < until);
-        }
-        pthread_join(t, NULL);
-        assert_true(sub.status == 200 || sub.status == 201 || sub.status == 503);
-        for (int k = 0; k < 5; k++) {
-            assert_true(told(poll_standing(s->app, ref, got, sizeof got), "aborted"));
-            rr_sleep(0.1);
-        }
-    }
-}
-
 /* A submission with one field left out. */
 static int submit_without(const struct rr_app *a, const char *ref, const char *left_out,
                           double cards) {
@@ -522,7 +484,6 @@
                                        T(no_older_answer_elsewhere),
                                        T(close_looks),
                                        T(a_lost_answer_while_others_read),
-                                       T(a_repeat_beside_a_cancellation),
                                        T(odd_requests),
                                        T(an_outage),
                                        T(a_restart_goes_on),
