--- a/src/core/allocation.c
+++ b/src/core/allocation.c
@@ -262,8 +262,7 @@
     return m;
 }
 
-/* How many tasks like the job's fit into this room, up to most. */
-static uint32_t tasks_in(rr_res need, rr_res room, uint32_t most) {
+uint32_t rr_tasks_in(rr_res need, rr_res room, uint32_t most) {
     uint32_t n = 0;
     while (n < most && rr_res_fits(need, room)) {
         room = rr_res_add(room, need, -1);
@@ -296,9 +295,9 @@
             rr_machine_usable(c, m, now)) {
             room[m->ward] = rr_res_add(room[m->ward], m->sim, 1);
             cap[m->ward] = rr_res_add(cap[m->ward], rr_machine_cap(c, m), 1);
-            fit[m->ward] += tasks_in(j->need, m->sim, wanted - MIN(wanted, fit[m->ward]));
+            fit[m->ward] += rr_tasks_in(j->need, m->sim, wanted - MIN(wanted, fit[m->ward]));
             if (j->s.shape == RR_GANG && rr_machine_has_cast(m, j->cast)) {
-                warm[m->ward] += tasks_in(j->need, m->sim, wanted - MIN(wanted, warm[m->ward]));
+                warm[m->ward] += rr_tasks_in(j->need, m->sim, wanted - MIN(wanted, warm[m->ward]));
             }
         }
     }
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -406,6 +406,8 @@
  * how->wards and how->separate are looked at anew; candidates without room go. */
 rr_machine *rr_choose_from(rr_core *c, const rr_job *j, const struct rr_choice *how, GArray *cands);
 rr_machine *rr_choose(rr_core *c, const rr_job *j, const struct rr_choice *how, double now);
+/* How many tasks of this need fit into this room, up to most. */
+uint32_t rr_tasks_in(rr_res need, rr_res room, uint32_t most);
 int rr_zone_most_room(rr_core *c, const rr_job *j, const bool *wards, double now);
 void rr_sim_reset(rr_core *c);
 bool rr_zone_bound(const rr_job *j);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -372,6 +372,15 @@
     }
 }
 
+static bool fits_whole(const struct rr_planner *p, const rr_job *j) {
+    uint32_t fit = 0;
+    for (guint i = 0; i < p->cands->len && fit < j->s.pieces; i++) {
+        const rr_machine *m = g_array_index(p->cands, rr_cand, i).m;
+        fit += rr_tasks_in(j->need, m->sim, j->s.pieces - fit);
+    }
+    return fit >= j->s.pieces;
+}
+
 /* All tasks of the gang or none, in one record, under one attempt. While one waits for room it
  * holds none, so that no two of them hold a half each. */
 static void place_gang(struct rr_planner *p, rr_job *j, int *left) {
@@ -398,6 +407,11 @@
     struct rr_choice walk = how;
     walk.wards = rr_zone_bound(j) ? wards : any;
     rr_candidates(c, j, &walk, p->now, p->cands);
+    /* One that can't fit takes nothing of the transaction. */
+    if (!fits_whole(p, j)) {
+        note_failure(p, j, mask);
+        return;
+    }
     for (; task < j->s.pieces; task++) {
         rr_machine *m = rr_choose_from(c, j, &how, p->cands);
         if (!m || !book_as(p, m, j, task, attempt)) {
