--- a/src/core/steward.c
+++ b/src/core/steward.c
@@ -212,7 +212,10 @@
             g_ptr_array_add(list, m);
         }
     }
-    if ((double)page_bytes(p->c, list) > page_most(p->c)) {
+    /* Only where it will be parted. A page grows a little as addresses come to be known: where no
+     * lower limit is to come it was left alone for good, and none of its machines went back. */
+    if (rr_value_kb(p->c->cfg) < p->c->cfg->value_kb &&
+        (double)page_bytes(p->c, list) > page_most(p->c)) {
         g_ptr_array_free(list, TRUE);
         return NULL;
     }
--- a/tests/test_core_upgrade.c
+++ b/tests/test_core_upgrade.c
@@ -321,6 +321,36 @@
     fx_node_clear(&other);
 }
 
+/* Where no lower limits are to come a page that has grown a little beyond what fills one, as
+ * addresses came to be known, is written as ever: a machine of it that has gone leaves it. (Every
+ * machine of a deployment stayed rented, at twice the price.) */
+static void a_page_that_has_grown(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    rr_step s;
+    GArray *stones = g_array_new(FALSE, FALSE, sizeof(rr_stone));
+    n->cfg.next_value_kb = n->cfg.next_txn_ops = 0;
+    fx_fleet(n, 1, 40, "a");
+    n->cfg.value_kb = (double)fx_value_size(w->store, RR_ROOT "fleet/00000001") / 1024;
+    for (int i = 2; i <= 40; i++) {
+        rr_stone st = {.state = RR_STONE_RUNNING, .age_s = 500};
+        g_snprintf(st.id, sizeof st.id, "vm-%d", i);
+        g_strlcpy(st.build, "m1", sizeof st.build);
+        g_strlcpy(st.ward, "a", sizeof st.ward);
+        g_array_append_val(stones, st);
+    }
+    rr_stone dead = {.id = "vm-1", .build = "m1", .ward = "a", .state = RR_STONE_FAILED};
+    g_array_append_val(stones, dead);
+    for (int i = 0; i < 20 && fx_recorded(w->store, "vm-1"); i++) {
+        fx_steward_step(n, stones, &s);
+        rr_step_clear(&s);
+        n->now += 0.6;
+    }
+    assert_false(fx_recorded(w->store, "vm-1"));
+    assert_true(fx_recorded(w->store, "vm-2"));
+    g_array_free(stones, TRUE);
+}
+
 /* A transaction went unanswered and its repeat is called invalid: the first copy may be carried out
  * yet, so that nothing is planned before a new term has voided it. */
 static void a_doubt_ends_with_a_term(void **state) {
@@ -360,6 +390,7 @@
         cmocka_unit_test_setup_teardown(the_first_write_is_small, setup, fx_world_teardown),
         cmocka_unit_test_setup_teardown(an_old_record_beyond_the_limit, setup, fx_world_teardown),
         cmocka_unit_test_setup_teardown(an_old_page_is_parted, setup, fx_world_teardown),
+        cmocka_unit_test_setup_teardown(a_page_that_has_grown, setup, fx_world_teardown),
         cmocka_unit_test_setup_teardown(a_doubt_ends_with_a_term, setup, fx_world_teardown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
