Peers: all machines heard in one beat; limits below 4,500 machines looked for

Need: fleets of some 4,000 machines are planned, and no fixed limit may stand below. One stopped short: a list of machines heard holds 512 and one went out in a beat, so that a controller that hears 4,500 needed nine beats, 4.5 s, and what was told late looked silent to the others.

Change: as many lists in a beat as there are machines to tell.

Ruled out: longer lists, which controllers of the version before refuse.

--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -240,6 +240,15 @@
     rr_frame_end(out, at);
 }
 
+/* Bounded by the machines there are: each is in a list once. */
+static void put_rest_of_lists(struct link *l, GByteArray *out, double now) {
+    for (unsigned hops = 0; hops < 2; hops++) {
+        while (g_hash_table_size(l->heard[hops]) > 0) {
+            put_list(l, hops, out, now);
+        }
+    }
+}
+
 static void put_suspects(struct link *l, GByteArray *out) {
     guint at = rr_frame_begin(out, RR_FRAME_SUSPECT);
     rr_frame_u16(out, (uint16_t)l->suspects->len);
@@ -278,10 +287,10 @@
     double now = rr_now();
     if (now - *beat >= BEAT_S) {
         *beat = now;
+        /* The first even if it is empty: it tells whom we hear. At 4,500 machines one list a beat
+         * was not enough, and machines were told of seconds late. */
         put_list(l, 0, out, now);
-        if (g_hash_table_size(l->heard[1]) > 0) {
-            put_list(l, 1, out, now);
-        }
+        put_rest_of_lists(l, out, now);
     }
     if (l->suspects->len > 0) {
         put_suspects(l, out);
--- a/tests/test_core_growth.c
+++ b/tests/test_core_growth.c
@@ -7,7 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define FLEET 2300
+#define FLEET 4500
 
 static unsigned visits(const fx_node *n) {
     rr_core_stats st;
@@ -609,6 +609,45 @@
     fx_node_clear(&again);
 }
 
+/* Work for 4,500 machines and none there: no limit on intents, calls or records stops short of
+ * them, and the records keep to the store's limits. */
+static void a_cold_start_to_the_whole_fleet(void **state) {
+    fx_world *w = *state;
+    fx_node *n = &w->n;
+    GArray *machines = g_array_new(FALSE, FALSE, sizeof(rr_listed_machine));
+    int rented = 0;
+    unsigned steps = 0;
+    w->store->value_max = (size_t)(n->cfg.value_kb * 1024);
+    w->store->ops_max = (guint)n->cfg.txn_ops;
+    submit_many(n, 1, FLEET / 100, &(struct fx_job){.pieces = 100, .cpu = 16});
+    for (; rented < FLEET && steps < 4000; steps++) {
+        rr_step s;
+        fx_provisioner_step(n, machines, &s);
+        if (s.kind == RR_STEP_RENT) {
+            GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+            for (int i = 0; i < s.how_many; i++) {
+                g_ptr_array_add(ids, g_strdup_printf("vm-%06d", ++rented));
+                fx_listed(machines, g_ptr_array_index(ids, ids->len - 1), s.zone,
+                          RR_LISTED_STARTING, 1);
+            }
+            rr_core_rented(n->core, n->now, &s, 200, ids);
+            g_ptr_array_free(ids, TRUE);
+        }
+        n->now += s.kind == RR_STEP_NONE ? 0.5 : 0.05;
+        rr_step_clear(&s);
+    }
+    for (int i = 0; i < 200; i++) {
+        rr_step s;
+        fx_provisioner_step(n, machines, &s);
+        n->now += 0.1;
+        rr_step_clear(&s);
+    }
+    assert_int_equal(rented, FLEET);
+    assert_true(fx_recorded(w->store, "vm-000001"));
+    assert_true(fx_recorded(w->store, "vm-004500"));
+    g_array_free(machines, TRUE);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, fx_world_setup, fx_world_teardown)
 
 int main(void) {
@@ -626,6 +665,7 @@
                                        T(services_come_back_first),
                                        T(final_jobs_shrink_to_a_line),
                                        T(nothing_is_decided_in_a_reread),
-                                       T(a_fleet_anew_and_a_zone_lost)};
+                                       T(a_fleet_anew_and_a_zone_lost),
+                                       T(a_cold_start_to_the_whole_fleet)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -146,6 +146,30 @@
     return type;
 }
 
+/* How many machines the next list names; other frames are passed over. */
+static uint16_t next_list(int fd) {
+    for (;;) {
+        uint8_t head[RR_FRAME_HEAD], type;
+        uint32_t len;
+        char name[RR_NAME];
+        read_all(fd, head, sizeof head);
+        assert_int_equal(rr_frame_head(head, &type, &len), 0);
+        uint8_t *payload = g_malloc(len + 1);
+        read_all(fd, payload, len);
+        rr_unpack in = {payload, len, false};
+        rr_unpack_u8(&in);
+        uint16_t hears = type == RR_FRAME_HEARD ? rr_unpack_u16(&in) : 0;
+        for (uint16_t i = 0; i < hears; i++) {
+            rr_unpack_text(&in, name, sizeof name);
+        }
+        uint16_t machines = rr_unpack_u16(&in);
+        g_free(payload);
+        if (type == RR_FRAME_HEARD) {
+            return machines;
+        }
+    }
+}
+
 static void wait_report(struct fixture *f, int fd) {
     rr_heard h = {.machine = "vm-7", .worker_epoch = 1, .sequence = 5, .hash = 9};
     rr_peers_report(f->peers, 1, 0, &h, "report", 6);
@@ -246,12 +270,39 @@
     assert_int_equal(atomic_load(&f->cancelled), 1);
 }
 
+/* All machines of a large fleet heard within a beat are told with it: one list a beat holds 512,
+ * and the rest was told seconds late. */
+static void a_fleet_in_one_beat(void **state) {
+    struct fixture *f = *state;
+    const unsigned fleet = 4500;
+    int fd = accept(f->listener, NULL, NULL);
+    assert_true(fd >= 0);
+    beat(f, true, 0);
+    for (unsigned i = 0; i < fleet; i++) {
+        rr_heard h = {.worker_epoch = 1, .sequence = 2, .hash = 3};
+        g_snprintf(h.machine, sizeof h.machine, "vm-%06u", i);
+        rr_peers_report(f->peers, 0, 0, &h, "report", 6);
+    }
+    unsigned lists = 0;
+    double first = 0;
+    for (unsigned lines = 0; lines < fleet;) {
+        uint16_t n = next_list(fd);
+        first = lines == 0 && n > 0 ? rr_now() : first;
+        lines += n;
+        lists += n > 0;
+    }
+    assert_true(lists <= fleet / 512 + 3);
+    assert_true(rr_now() - first < 2); /* two beats, where lists alone took nine */
+    close(fd);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
     const struct CMUnitTest tests[] = {T(a_dead_link_is_made_anew), T(late_frames_are_dropped),
                                        T(a_cancellation_is_told_until_heard),
-                                       T(a_late_cancellation_counts)};
+                                       T(a_late_cancellation_counts),
+                                       T(a_fleet_in_one_beat)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
