--- /dev/null
+++ b/src/admission/admission.c
@@ -0,0 +1,264 @@
+#include "admission/admission.h"
+#include "peer/frame.h"
+
+#include <errno.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VIEW_BYTES_MAX (RR_FRAME_MAX - 1024) /* of a view in a frame */
+#define VIEW_KEPT 6 /* intervals for which a silent controller's view counts */
+
+struct peer_view {
+    rr_demand_view view;
+    double heard_at; /* steady, 0: never */
+};
+
+struct rr_admission {
+    const struct rr_config *config;
+    const rr_admission_settings *settings;
+    rr_admission_slot slots[2];
+    rr_admission_table none;
+    bool whole[2]; /* the slot's table is complete */
+    rr_demand *demand;
+    double counted_from; /* wall: the interval that is being counted */
+    struct peer_view peers[RR_MAX_NODES];
+    /* What was admitted without a table that could be relied on, in this interval. */
+    rr_work conservative[RR_MAX_TEAMS];
+    rr_admission_stats stats;
+};
+
+rr_admission *rr_admission_create(const struct rr_config *config,
+                                  const rr_admission_settings *settings) {
+    rr_admission *admission = g_new0(rr_admission, 1);
+    admission->config = config;
+    admission->settings = settings;
+    admission->demand = rr_demand_create(settings->patience_s);
+    rr_admission_table_init(&admission->none);
+    rr_admission_table_init(&admission->slots[0].table);
+    rr_admission_table_init(&admission->slots[1].table);
+    return admission;
+}
+
+void rr_admission_destroy(rr_admission *admission) {
+    if (!admission) {
+        return;
+    }
+    for (size_t i = 0; i < RR_MAX_NODES; i++) {
+        rr_demand_view_clear(&admission->peers[i].view);
+    }
+    rr_admission_table_clear(&admission->slots[0].table);
+    rr_admission_table_clear(&admission->slots[1].table);
+    rr_admission_table_clear(&admission->none);
+    rr_demand_destroy(admission->demand);
+    g_free(admission);
+}
+
+void rr_admission_get_stats(const rr_admission *admission, rr_admission_stats *out) {
+    *out = admission->stats;
+}
+
+/* ---- tables ---- */
+
+void rr_admission_put(rr_admission *admission, const char *rest, const msgpack_object *value,
+                      uint64_t mark) {
+    char *end;
+    unsigned long slot = strtoul(rest, &end, 10);
+    unsigned long part = *end == '/' ? strtoul(end + 1, &end, 10) : RR_ADMISSION_PARTS_MAX;
+    int rc = -EPROTO;
+    if (*end == 0 && slot < 2 && part < RR_ADMISSION_PARTS_MAX) {
+        uint64_t before = admission->slots[slot].table.sequence;
+        rc = rr_admission_slot_put(&admission->slots[slot], (guint)part, value, mark);
+        bool newer = admission->slots[slot].table.sequence != before;
+        admission->whole[slot] = rc == 1 || (admission->whole[slot] && !newer);
+    }
+    admission->stats.records_unread += rc < 0;
+}
+
+static const rr_admission_table *slot_table(const rr_admission *admission, int slot) {
+    return admission->whole[slot] ? &admission->slots[slot].table : &admission->none;
+}
+
+static rr_admission_tables tables_of(const rr_admission *admission) {
+    const rr_admission_table *first = slot_table(admission, 0), *second = slot_table(admission, 1);
+    bool ordered = first->sequence > second->sequence;
+    return (rr_admission_tables){ordered ? first : second, ordered ? second : first};
+}
+
+const rr_admission_table *rr_admission_newest(const rr_admission *admission) {
+    return tables_of(admission).newest;
+}
+
+const rr_admission_table *rr_admission_table_at(const rr_admission *admission, double wall) {
+    rr_admission_tables tables = tables_of(admission);
+    return rr_admission_in_force(&tables, wall);
+}
+
+/* Both slots' records are guarded: a provisioner that has not read the newest table writes none. */
+bool rr_admission_write(const rr_admission *admission, const rr_admission_table *table,
+                        rr_txn *out) {
+    rr_out records[RR_ADMISSION_PARTS_MAX];
+    char key[64];
+    size_t bytes = (size_t)(rr_value_kb(admission->config) * 1024);
+    guint most = (guint)rr_txn_ops(admission->config);
+    guint parts = rr_admission_table_encode(table, bytes, most, records);
+    const rr_admission_slot *slot = &admission->slots[table->sequence % 2];
+    const rr_admission_slot *other = &admission->slots[(table->sequence + 1) % 2];
+    rr_admission_record_key(table->sequence + 1, 0, key, sizeof key);
+    rr_txn_guard(out, key, other->marks[0]);
+    for (guint i = 0; i < parts; i++) {
+        rr_admission_record_key(table->sequence, i, key, sizeof key);
+        rr_txn_guard(out, key, slot->marks[i]);
+        rr_txn_put(out, key, &records[i], 0);
+    }
+    return parts > 0;
+}
+
+/* ---- submissions ---- */
+
+static int team_of(const struct rr_config *config, const char *name) {
+    for (size_t i = 0; i < config->nteams; i++) {
+        if (strcmp(config->teams[i].name, name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static rr_work job_work(const rr_admission *admission, const rr_submission *submission) {
+    rr_work task = rr_work_of_task(submission, admission->settings->service_estimate_s);
+    return rr_work_add((rr_work){0, 0, 0}, task, submission->pieces);
+}
+
+/* Without a table to rely on: of what its team is guaranteed in an interval, this controller's part
+ * among those of the last known term, so that all of them together stay within the guarantee. */
+static bool within_guarantee(rr_admission *admission, const rr_submission *submission,
+                             unsigned controllers) {
+    int team = team_of(admission->config, submission->team);
+    if (team < 0) {
+        return false;
+    }
+    const struct rr_team_config *guarantee = &admission->config->teams[team];
+    double part = admission->settings->interval_s / MAX(controllers, 1);
+    rr_work work = rr_work_add(admission->conservative[team], job_work(admission, submission), 1);
+    if (work.cpu_s > guarantee->cpus * part || work.gpu_s > guarantee->gpus * part) {
+        return false;
+    }
+    admission->conservative[team] = work;
+    return true;
+}
+
+static double stale_s(const rr_admission *admission) {
+    return (1 + RR_ADMISSION_STALE_INTERVALS) * admission->settings->interval_s;
+}
+
+static rr_admission_verdict conservative(rr_admission *admission, const rr_submission *submission,
+                                         unsigned controllers) {
+    rr_admission_verdict verdict = {RR_ADMISSION_ADMIT, 0};
+    if (!within_guarantee(admission, submission, controllers)) {
+        verdict.kind = RR_ADMISSION_STALE;
+        verdict.retry_after_s =
+            (int)fmin(RR_RETRY_AFTER_MAX_S, fmax(1, ceil(admission->settings->interval_s)));
+    }
+    return verdict;
+}
+
+rr_admission_verdict rr_admission_ask(rr_admission *admission, const rr_submission *submission,
+                                      const rr_admission_standing *standing, double wall,
+                                      double now) {
+    rr_admission_tables tables = tables_of(admission);
+    rr_admission_verdict verdict = {RR_ADMISSION_ADMIT, 0};
+    rr_admission_key key;
+    rr_admission_key_of(submission, admission->settings->band_limits, &key);
+    if (!standing->all_able) {
+        return verdict;
+    }
+    bool stale = !standing->entitled || standing->cache_age_s > stale_s(admission);
+    if (!stale) {
+        verdict = rr_admission_decide(&tables, wall, admission->config->clock_off_s, &key,
+                                      submission->ref);
+        stale = verdict.kind == RR_ADMISSION_STALE;
+    }
+    if (stale) {
+        verdict = conservative(admission, submission, standing->controllers);
+        admission->stats.refused_stale += verdict.kind != RR_ADMISSION_ADMIT;
+    }
+    if (verdict.kind != RR_ADMISSION_ADMIT) {
+        admission->stats.refused++;
+        rr_demand_refused(admission->demand, &key, submission->ref, job_work(admission, submission),
+                          now);
+    }
+    return verdict;
+}
+
+void rr_admission_accepted(rr_admission *admission, const rr_submission *submission) {
+    rr_admission_key key;
+    rr_admission_key_of(submission, admission->settings->band_limits, &key);
+    admission->stats.admitted++;
+    rr_demand_admitted(admission->demand, &key, submission->ref, job_work(admission, submission));
+}
+
+/* ---- demand ---- */
+
+void rr_admission_tick(rr_admission *admission, double wall, double now) {
+    double length = admission->settings->interval_s;
+    double edge = floor(wall / length) * length;
+    if (edge != admission->counted_from) {
+        admission->counted_from = edge;
+        memset(admission->conservative, 0, sizeof admission->conservative);
+        rr_demand_next_interval(admission->demand, now);
+    }
+}
+
+void rr_admission_settle(rr_admission *admission, rr_job_known_fn known, void *user) {
+    rr_demand_settle(admission->demand, known, user);
+}
+
+bool rr_admission_tell(const rr_admission *admission, uint64_t fencing_token, GByteArray *out) {
+    rr_demand_view view;
+    if (!rr_admission_newest(admission)->active) {
+        return false;
+    }
+    rr_demand_view_of(admission->demand, fencing_token, &view);
+    rr_demand_view_pack(&view, out, VIEW_BYTES_MAX);
+    rr_demand_view_clear(&view);
+    return true;
+}
+
+int rr_admission_heard(rr_admission *admission, size_t peer, uint64_t fencing_token,
+                       const void *data, size_t len, double now) {
+    rr_demand_view view;
+    int rc = peer < RR_MAX_NODES ? rr_demand_view_unpack(data, len, &view) : -EBADMSG;
+    if (rc == 0 && view.fencing_token < fencing_token) {
+        rr_demand_view_clear(&view);
+        rc = -ESTALE;
+    }
+    if (rc != 0) {
+        admission->stats.frames_dropped++;
+        return rc;
+    }
+    rr_demand_view_clear(&admission->peers[peer].view);
+    admission->peers[peer].view = view;
+    admission->peers[peer].heard_at = now;
+    return 0;
+}
+
+void rr_admission_demand(const rr_admission *admission, double now, GArray *out) {
+    const rr_demand_view *views[RR_MAX_NODES + 1];
+    unsigned ages[RR_MAX_NODES + 1];
+    guint count = 0;
+    rr_demand_view own;
+    rr_demand_view_of(admission->demand, 0, &own);
+    views[count] = &own;
+    ages[count++] = 0;
+    for (size_t i = 0; i < admission->config->npeers; i++) {
+        const struct peer_view *peer = &admission->peers[i];
+        double age = (now - peer->heard_at) / admission->settings->interval_s;
+        if (peer->heard_at > 0 && age < VIEW_KEPT) {
+            views[count] = &peer->view;
+            ages[count++] = age < 1.5 ? 0 : (unsigned)age;
+        }
+    }
+    rr_demand_merge(views, ages, count, out);
+    rr_demand_view_clear(&own);
+}
--- /dev/null
+++ b/src/admission/demand_frame.c
@@ -0,0 +1,152 @@
+/* A view of the demand as packed fields, in a frame between controllers. */
+#include "admission/demand.h"
+#include "peer/frame.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define ENTRY_BYTES 128 /* of an entry's fixed fields, with room to spare */
+#define ENTRIES_MAX 65535u
+#define WORK_UNIT 1000.0 /* work is told in thousandths */
+#define WORK_MAX 1e15
+
+static void put_work(GByteArray *out, double work) {
+    double bounded = CLAMP(work, 0, WORK_MAX);
+    rr_frame_u64(out, (uint64_t)(bounded * WORK_UNIT));
+}
+
+static size_t entry_bytes(const rr_demand_entry *entry) {
+    return ENTRY_BYTES + strlen(entry->key.team) + strlen(entry->key.job_class) +
+           strlen(entry->key.zone) + strlen(entry->key.types) +
+           entry->sample->len * sizeof(uint64_t);
+}
+
+static void put_entry(GByteArray *out, const rr_demand_entry *entry) {
+    rr_frame_text(out, entry->key.team);
+    rr_frame_text(out, entry->key.job_class);
+    rr_frame_text(out, entry->key.zone);
+    rr_frame_text(out, entry->key.types);
+    rr_frame_u8(out, (uint8_t)entry->key.band);
+    rr_frame_u64(out, entry->admitted);
+    put_work(out, entry->mean.cpu_s);
+    put_work(out, entry->mean.gpu_s);
+    put_work(out, entry->mean.mem_s);
+    rr_frame_u64(out, entry->bound);
+    rr_frame_u16(out, (uint16_t)entry->sample->len);
+    for (guint i = 0; i < entry->sample->len; i++) {
+        rr_frame_u64(out, g_array_index(entry->sample, uint64_t, i));
+    }
+}
+
+/* A team's entries in the order in which they are left out last: large jobs, then most demand. */
+static gint by_team(gconstpointer a, gconstpointer b) {
+    const rr_demand_entry *x = *(const rr_demand_entry *const *)a;
+    const rr_demand_entry *y = *(const rr_demand_entry *const *)b;
+    uint64_t jobs_x = x->sample->len + x->admitted, jobs_y = y->sample->len + y->admitted;
+    int teams = strcmp(x->key.team, y->key.team);
+    if (teams != 0 || x->key.band != y->key.band) {
+        return teams != 0 ? teams : x->key.band > y->key.band ? -1 : 1;
+    }
+    return jobs_x > jobs_y ? -1 : jobs_x < jobs_y;
+}
+
+struct ranked {
+    const rr_demand_entry *entry;
+    guint rank; /* within its team */
+};
+
+static gint by_rank(gconstpointer a, gconstpointer b) {
+    const struct ranked *x = a, *y = b;
+    return x->rank < y->rank ? -1 : x->rank > y->rank;
+}
+
+/* One entry of each team, then a second one, and so on: a team with very many classes crowds out
+ * nobody else's. */
+static GArray *in_turn(const rr_demand_view *view) {
+    GPtrArray *entries = g_ptr_array_new();
+    GArray *order = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+    for (guint i = 0; i < view->entries->len; i++) {
+        g_ptr_array_add(entries, &g_array_index(view->entries, rr_demand_entry, i));
+    }
+    g_ptr_array_sort(entries, by_team);
+    for (guint i = 0; i < entries->len; i++) {
+        struct ranked ranked = {g_ptr_array_index(entries, i), 0};
+        if (i > 0) {
+            const struct ranked *last = &g_array_index(order, struct ranked, i - 1);
+            bool same = strcmp(last->entry->key.team, ranked.entry->key.team) == 0;
+            ranked.rank = same ? last->rank + 1 : 0;
+        }
+        g_array_append_val(order, ranked);
+    }
+    g_ptr_array_free(entries, TRUE);
+    g_array_sort(order, by_rank);
+    return order;
+}
+
+void rr_demand_view_pack(const rr_demand_view *view, GByteArray *out, size_t max_bytes) {
+    GArray *order = in_turn(view);
+    size_t bytes = 0;
+    guint count = 0;
+    while (count < MIN(order->len, ENTRIES_MAX)) {
+        bytes += entry_bytes(g_array_index(order, struct ranked, count).entry);
+        if (bytes > max_bytes) {
+            break;
+        }
+        count++;
+    }
+    rr_frame_u8(out, RR_DEMAND_VERSION);
+    rr_frame_u64(out, view->fencing_token);
+    rr_frame_u16(out, (uint16_t)count);
+    for (guint i = 0; i < count; i++) {
+        put_entry(out, g_array_index(order, struct ranked, i).entry);
+    }
+    g_array_free(order, TRUE);
+}
+
+static double get_work(rr_unpack *in) {
+    return (double)rr_unpack_u64(in) / WORK_UNIT;
+}
+
+static bool get_entry(rr_unpack *in, rr_demand_entry *entry) {
+    bool texts = rr_unpack_text(in, entry->key.team, sizeof entry->key.team) &&
+                 rr_unpack_text(in, entry->key.job_class, sizeof entry->key.job_class) &&
+                 rr_unpack_text(in, entry->key.zone, sizeof entry->key.zone) &&
+                 rr_unpack_text(in, entry->key.types, sizeof entry->key.types);
+    size_t length = strlen(entry->key.types);
+    entry->key.band = rr_unpack_u8(in);
+    entry->admitted = rr_unpack_u64(in);
+    entry->mean.cpu_s = get_work(in);
+    entry->mean.gpu_s = get_work(in);
+    entry->mean.mem_s = get_work(in);
+    entry->bound = rr_unpack_u64(in);
+    uint16_t samples = rr_unpack_u16(in);
+    if (!texts || in->bad || entry->key.band >= RR_ADMISSION_BANDS ||
+        (length > 0 && entry->key.types[length - 1] != ',') ||
+        samples * sizeof(uint64_t) > in->left || entry->bound == 0) {
+        return false;
+    }
+    for (uint16_t i = 0; i < samples; i++) {
+        uint64_t hash = rr_unpack_u64(in);
+        g_array_append_val(entry->sample, hash);
+    }
+    rr_admission_key_hash(&entry->key);
+    return !in->bad;
+}
+
+int rr_demand_view_unpack(const void *data, size_t len, rr_demand_view *out) {
+    rr_unpack in = {data, len, false};
+    rr_demand_view_init(out);
+    bool good = rr_unpack_u8(&in) == RR_DEMAND_VERSION;
+    out->fencing_token = rr_unpack_u64(&in);
+    uint16_t count = rr_unpack_u16(&in);
+    for (uint16_t i = 0; good && !in.bad && i < count; i++) {
+        rr_demand_entry entry = {.sample = g_array_new(FALSE, FALSE, sizeof(uint64_t))};
+        good = get_entry(&in, &entry);
+        g_array_append_val(out->entries, entry);
+    }
+    if (!good || in.bad || in.left > 0) {
+        rr_demand_view_clear(out);
+        return -EBADMSG;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/admission/key.c
@@ -0,0 +1,87 @@
+#include "admission/key.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FNV_BASIS 1469598103934665603ULL
+#define FNV_PRIME 1099511628211ULL
+#define SEPARATOR 0x1f /* in no name */
+
+static uint64_t hash_text(uint64_t hash, const char *text) {
+    for (; *text; text++) {
+        hash = (hash ^ (unsigned char)*text) * FNV_PRIME;
+    }
+    return (hash ^ SEPARATOR) * FNV_PRIME;
+}
+
+/* FNV-1a leaves similar texts close together; positions on the circle must not be. */
+static uint64_t mix(uint64_t hash) {
+    hash ^= hash >> 33;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33;
+    hash *= 0xc4ceb9fe1a85ec53ULL;
+    return hash ^ hash >> 33;
+}
+
+uint64_t rr_admission_job_hash(const char *job_id) {
+    return mix(hash_text(FNV_BASIS, job_id));
+}
+
+uint64_t rr_admission_rest_id(const char *team, unsigned band) {
+    return mix((hash_text(hash_text(FNV_BASIS, "rest"), team) ^ band) * FNV_PRIME);
+}
+
+void rr_admission_key_hash(rr_admission_key *key) {
+    uint64_t hash = hash_text(hash_text(FNV_BASIS, key->team), key->job_class);
+    hash = hash_text(hash_text(hash, key->zone), key->types);
+    key->id = mix((hash ^ key->band) * FNV_PRIME);
+}
+
+static int by_text(const void *a, const void *b) {
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Types that do not fit make the key one of any type: its share is then reckoned too high, and the
+ * backlog corrects it. */
+static void set_types(const rr_submission *submission, rr_admission_key *out) {
+    const char *types[RR_BUILDS_MAX];
+    int count = submission->nbuilds;
+    for (int i = 0; i < count; i++) {
+        types[i] = submission->builds[i];
+    }
+    if (count > 1) {
+        qsort(types, (size_t)count, sizeof types[0], by_text);
+    }
+    for (int i = 0; i < count; i++) {
+        if (g_strlcat(out->types, types[i], sizeof out->types) >= sizeof out->types - 1) {
+            out->types[0] = 0;
+            return;
+        }
+        g_strlcat(out->types, ",", sizeof out->types);
+    }
+}
+
+void rr_admission_key_of(const rr_submission *submission, const uint32_t band_limits[2],
+                         rr_admission_key *out) {
+    memset(out, 0, sizeof *out);
+    g_strlcpy(out->team, submission->team, sizeof out->team);
+    g_strlcpy(out->job_class, submission->job_class, sizeof out->job_class);
+    g_strlcpy(out->zone, submission->zone, sizeof out->zone);
+    set_types(submission, out);
+    out->band =
+        (submission->pieces >= band_limits[0]) + (submission->pieces >= band_limits[1] ? 1U : 0U);
+    rr_admission_key_hash(out);
+}
+
+bool rr_admission_key_allows(const rr_admission_key *key, const char *type, const char *zone) {
+    if (key->zone[0] && strcmp(key->zone, zone) != 0) {
+        return false;
+    }
+    size_t length = strlen(type);
+    for (const char *at = key->types; *at; at = strchr(at, ',') + 1) {
+        if (strncmp(at, type, length) == 0 && at[length] == ',') {
+            return true;
+        }
+    }
+    return !key->types[0];
+}
--- /dev/null
+++ b/src/admission/key.h
@@ -0,0 +1,32 @@
+/* What admission tells apart: a key is a team, a job class, a size band and the zone and machine
+ * types that a job is tied to. Every controller derives the same key from the same submission. */
+#ifndef RR_ADMISSION_KEY_H
+#define RR_ADMISSION_KEY_H
+
+#include "core/config.h"
+#include "wire/wire.h"
+
+#define RR_ADMISSION_BANDS 3 /* small, medium and large jobs */
+#define RR_ADMISSION_TYPES 256
+
+typedef struct {
+    uint64_t id; /* hash of the rest */
+    char team[RR_NAME], job_class[RR_TEXT];
+    char zone[RR_TEXT];             /* empty: any */
+    char types[RR_ADMISSION_TYPES]; /* sorted, each followed by a comma; empty: any */
+    unsigned band;
+} rr_admission_key;
+
+/* band_limits: the tasks from which a job is of the second and of the third band. */
+void rr_admission_key_of(const rr_submission *submission, const uint32_t band_limits[2],
+                         rr_admission_key *out);
+/* Fills in the id of a key whose other fields are set. */
+void rr_admission_key_hash(rr_admission_key *key);
+/* The id of a team's jobs of this band whose keys a table does not name. */
+uint64_t rr_admission_rest_id(const char *team, unsigned band);
+/* Whether machines of this type and zone may take jobs of the key. */
+bool rr_admission_key_allows(const rr_admission_key *key, const char *type, const char *zone);
+/* A job's hash: where it stands on the circle, and what demand is counted by. */
+uint64_t rr_admission_job_hash(const char *job_id);
+
+#endif
--- /dev/null
+++ b/src/admission/load.c
@@ -0,0 +1,109 @@
+#include "admission/load.h"
+
+#include <string.h>
+
+static GHashTable *new_counts(void) {
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+void rr_load_init(rr_load *load, const rr_admission_settings *settings) {
+    memset(load, 0, sizeof *load);
+    load->settings = settings;
+    load->pools = g_array_new(FALSE, TRUE, sizeof(rr_load_pool));
+    load->keys = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    load->done = new_counts();
+    load->done_before = NULL;
+}
+
+void rr_load_clear(rr_load *load) {
+    g_array_free(load->pools, TRUE);
+    g_hash_table_destroy(load->keys);
+    g_hash_table_destroy(load->done);
+    if (load->done_before) {
+        g_hash_table_destroy(load->done_before);
+    }
+}
+
+void rr_load_begin(rr_load *load) {
+    g_array_set_size(load->pools, 0);
+    g_hash_table_remove_all(load->keys);
+    memset(load->teams, 0, sizeof load->teams);
+    if (load->done_before) {
+        g_hash_table_destroy(load->done_before);
+    }
+    load->done_before = load->done;
+    load->done = new_counts();
+    load->visits++;
+}
+
+static rr_amount amount_add(rr_amount a, rr_amount b, double factor) {
+    return (rr_amount){a.cpu + factor * b.cpu, a.gpu + factor * b.gpu, a.mem + factor * b.mem};
+}
+
+void rr_load_add_machine(rr_load *load, const char *type, const char *zone, rr_amount amount) {
+    for (guint i = 0; i < load->pools->len; i++) {
+        rr_load_pool *pool = &g_array_index(load->pools, rr_load_pool, i);
+        if (strcmp(pool->type, type) == 0 && strcmp(pool->zone, zone) == 0) {
+            pool->amount = amount_add(pool->amount, amount, 1);
+            return;
+        }
+    }
+    rr_load_pool pool = {.amount = amount};
+    g_strlcpy(pool.type, type, sizeof pool.type);
+    g_strlcpy(pool.zone, zone, sizeof pool.zone);
+    g_array_append_val(load->pools, pool);
+}
+
+rr_amount rr_load_capacity(const rr_load *load) {
+    rr_amount all = {0, 0, 0};
+    for (guint i = 0; i < load->pools->len; i++) {
+        all = amount_add(all, g_array_index(load->pools, rr_load_pool, i).amount, 1);
+    }
+    return all;
+}
+
+/* Tasks that ended since the last visit. A job that was not there then is new, unless nothing was:
+ * then nothing is known. */
+static uint32_t newly_done(rr_load *load, const char *job_id, uint32_t done) {
+    uint64_t hash = rr_admission_job_hash(job_id);
+    gpointer before = NULL;
+    bool known =
+        load->done_before && g_hash_table_lookup_extended(load->done_before, &hash, NULL, &before);
+    uint64_t *copy = g_new(uint64_t, 1);
+    *copy = hash;
+    g_hash_table_replace(load->done, copy, GUINT_TO_POINTER(done));
+    uint32_t unseen = load->visits > 1 ? 0 : done;
+    uint32_t seen = known ? GPOINTER_TO_UINT(before) : unseen;
+    return done > seen ? done - seen : 0;
+}
+
+static void add_waiting(rr_load *load, const rr_submission *submission, rr_work work) {
+    rr_admission_key key;
+    rr_admission_key_of(submission, load->settings->band_limits, &key);
+    rr_load_key *entry = g_hash_table_lookup(load->keys, &key.id);
+    if (!entry) {
+        entry = g_new0(rr_load_key, 1);
+        entry->key = key;
+        g_hash_table_insert(load->keys, &entry->key.id, entry);
+    }
+    entry->waiting = rr_work_add(entry->waiting, work, 1);
+}
+
+void rr_load_add_job(rr_load *load, const rr_submission *submission, int team, uint32_t waiting,
+                     uint32_t placed, uint32_t done) {
+    if (team < 0 || team >= RR_MAX_TEAMS) {
+        return;
+    }
+    rr_load_team *of_team = &load->teams[team];
+    rr_amount need = {submission->vcpus, submission->cards, submission->mem_gb};
+    rr_work work = rr_work_of_task(submission, load->settings->service_estimate_s);
+    bool ends = submission->shape != RR_SERVICE;
+    of_team->used = amount_add(of_team->used, need, placed);
+    of_team->batch = amount_add(of_team->batch, need, ends ? placed : 0);
+    of_team->waiting = amount_add(of_team->waiting, need, waiting);
+    of_team->done =
+        rr_work_add(of_team->done, work, newly_done(load, submission->ref, ends ? done : 0));
+    if (waiting > 0) {
+        add_waiting(load, submission, rr_work_add((rr_work){0, 0, 0}, work, waiting));
+    }
+}
--- /dev/null
+++ b/src/app/admission_duty.c
@@ -0,0 +1,323 @@
+/* Fair admission in this process: the package's state under a lock of its own, the questions of the
+ * HTTP threads, and the duty that tells the demand and, on the provisioner, writes the tables.
+ *
+ * Lock order: the core's lock, then this one. The linear programs run under neither. */
+#include "admission/admission.h"
+#include "app/app.h"
+#include "app/clock.h"
+#include "app/log.h"
+#include "app/usage.h"
+
+#include <errno.h>
+#include <math.h>
+#include <string.h>
+
+#define TELL_AT 0.45 /* of an interval: demand is told, a little before tables are made */
+#define LOOKS 40.0   /* of the duty in an interval */
+#define LOOK_MAX_S 0.25
+#define COMMIT_S 1.0
+#define RETRY 0.1 /* of an interval, between tries to write a table */
+
+struct rr_app_admission {
+    pthread_mutex_t lock;
+    rr_admission *admission; /* under lock */
+    /* The duty's own. */
+    rr_admission_writer *writer;
+    rr_load load;
+    double told_for;                   /* wall: the interval for which the demand was told, */
+    double settled_for;                /* and whose table is written or not needed */
+    rr_admission_writer_stats written; /* under lock */
+};
+
+/* Called with the core's lock held, as records come. */
+static void on_record(void *user, const char *rest, const msgpack_object *value, uint64_t version) {
+    struct rr_app_admission *state = user;
+    rr_admission_stats before, after;
+    pthread_mutex_lock(&state->lock);
+    rr_admission_get_stats(state->admission, &before);
+    rr_admission_put(state->admission, rest, value, version);
+    rr_admission_get_stats(state->admission, &after);
+    pthread_mutex_unlock(&state->lock);
+    if (after.records_unread != before.records_unread && before.records_unread == 0) {
+        rr_log(RR_ERROR_LEVEL, "admission: a table of an unknown form; more are only counted");
+    }
+}
+
+int rr_app_admission_start(struct rr_app *a) {
+    if (!a->cfg.admission) {
+        return 0;
+    }
+    struct rr_app_admission *state = g_new0(struct rr_app_admission, 1);
+    pthread_mutex_init(&state->lock, NULL);
+    state->admission = rr_admission_create(&a->cfg, &a->admission_settings);
+    state->writer = rr_admission_writer_create(&a->cfg, &a->admission_settings);
+    rr_load_init(&state->load, &a->admission_settings);
+    rr_core_watch_records(a->core, RR_ADMISSION_PREFIX, on_record, state);
+    a->admission = state;
+    return 0;
+}
+
+void rr_app_admission_stop(struct rr_app *a) {
+    struct rr_app_admission *state = a->admission;
+    if (state) {
+        rr_load_clear(&state->load);
+        rr_admission_writer_destroy(state->writer);
+        rr_admission_destroy(state->admission);
+        pthread_mutex_destroy(&state->lock);
+        g_free(state);
+        a->admission = NULL;
+    }
+    rr_admission_settings_clear(&a->admission_settings);
+}
+
+/* ---- questions ---- */
+
+static rr_admission_standing standing_of(struct rr_app *a) {
+    double now = rr_now();
+    pthread_mutex_lock(&a->lock);
+    rr_admission_standing standing = {.entitled = rr_core_entitled(a->core, now),
+                                      .all_able = rr_core_all_admit(a->core),
+                                      .cache_age_s = rr_core_mirror_age(a->core, now),
+                                      .controllers = rr_core_live(a->core)};
+    pthread_mutex_unlock(&a->lock);
+    return standing;
+}
+
+bool rr_app_admission_ask(struct rr_app *a, const rr_submission *s, int *retry_after_s) {
+    struct rr_app_admission *state = a->admission;
+    if (!state) {
+        return true;
+    }
+    rr_admission_standing standing = standing_of(a);
+    pthread_mutex_lock(&state->lock);
+    rr_admission_verdict verdict =
+        rr_admission_ask(state->admission, s, &standing, rr_wall(), rr_now());
+    pthread_mutex_unlock(&state->lock);
+    *retry_after_s = verdict.retry_after_s;
+    return verdict.kind == RR_ADMISSION_ADMIT;
+}
+
+void rr_app_admission_accepted(struct rr_app *a, const rr_submission *s) {
+    if (a->admission) {
+        pthread_mutex_lock(&a->admission->lock);
+        rr_admission_accepted(a->admission->admission, s);
+        pthread_mutex_unlock(&a->admission->lock);
+    }
+}
+
+void rr_app_admission_heard(struct rr_app *a, int peer, const void *data, size_t len) {
+    struct rr_app_admission *state = a->admission;
+    if (!state) {
+        return;
+    }
+    pthread_mutex_lock(&a->lock);
+    uint64_t token = rr_core_token(a->core);
+    pthread_mutex_unlock(&a->lock);
+    pthread_mutex_lock(&state->lock);
+    int rc = rr_admission_heard(state->admission, (size_t)peer, token, data, len, rr_now());
+    pthread_mutex_unlock(&state->lock);
+    if (rc == -EBADMSG) {
+        rr_log(RR_DEBUG_LEVEL, "admission: a malformed view of the demand was dropped");
+    }
+}
+
+void rr_app_admission_log(struct rr_app *a) {
+    struct rr_app_admission *state = a->admission;
+    rr_admission_stats stats;
+    if (!state) {
+        return;
+    }
+    pthread_mutex_lock(&state->lock);
+    const rr_admission_table *table = rr_admission_table_at(state->admission, rr_wall());
+    bool active = table && table->active;
+    rr_admission_writer_stats written = state->written;
+    rr_admission_get_stats(state->admission, &stats);
+    pthread_mutex_unlock(&state->lock);
+    rr_log(RR_INFO_LEVEL,
+           "admission: %s, backlog %.0f s, asked for %.0f s, %u rows; so far %" G_GUINT64_FORMAT
+           " admitted, %" G_GUINT64_FORMAT " refused, %" G_GUINT64_FORMAT
+           " of them without a fresh table, %" G_GUINT64_FORMAT " views dropped, %" G_GUINT64_FORMAT
+           " records unread, %" G_GUINT64_FORMAT " shares by filling",
+           active ? "limits" : "admits all", written.backlog_s, written.asked_s, written.rows,
+           stats.admitted, stats.refused, stats.refused_stale, stats.frames_dropped,
+           stats.records_unread, written.fallbacks);
+}
+
+/* ---- the duty ---- */
+
+/* Under the core's lock. */
+static bool job_known(void *user, const char *job_id) {
+    const struct rr_app *a = user;
+    return rr_core_job_known(a->core, job_id);
+}
+
+static void settle(struct rr_app *a) {
+    struct rr_app_admission *state = a->admission;
+    pthread_mutex_lock(&a->lock);
+    pthread_mutex_lock(&state->lock);
+    rr_admission_settle(state->admission, job_known, a);
+    pthread_mutex_unlock(&state->lock);
+    pthread_mutex_unlock(&a->lock);
+}
+
+/* Once an interval, and only while every controller reads it. */
+static void tell_demand(struct rr_app *a, double wall) {
+    struct rr_app_admission *state = a->admission;
+    double length = a->admission_settings.interval_s, edge = floor(wall / length) * length;
+    if (edge == state->told_for || wall - edge < TELL_AT * length) {
+        return;
+    }
+    state->told_for = edge;
+    settle(a);
+    pthread_mutex_lock(&a->lock);
+    bool able = rr_core_all_admit(a->core);
+    uint64_t token = rr_core_token(a->core);
+    pthread_mutex_unlock(&a->lock);
+    GByteArray *view = g_byte_array_new();
+    pthread_mutex_lock(&state->lock);
+    bool told = able && rr_admission_tell(state->admission, token, view);
+    pthread_mutex_unlock(&state->lock);
+    if (told) {
+        rr_peers_demand(a->peers, view->data, view->len);
+    }
+    g_byte_array_free(view, TRUE);
+}
+
+static void visit_machine(void *user, const char *type, const char *zone, double cpu, double gpu,
+                          double mem) {
+    rr_load_add_machine(user, type, zone, (rr_amount){cpu, gpu, mem});
+}
+
+static void visit_job(void *user, const rr_submission *submission, int team, uint32_t waiting,
+                      uint32_t placed, uint32_t done) {
+    rr_load_add_job(user, submission, team, waiting, placed, done);
+}
+
+/* What the table is made of, from one moment. False: this controller is not to write one now. */
+static bool gather(struct rr_app *a, GArray *demand, rr_admission_table *newest, rr_txn *txn) {
+    struct rr_app_admission *state = a->admission;
+    double now = rr_now();
+    pthread_mutex_lock(&a->lock);
+    bool writes = rr_core_settled(a->core) && rr_core_is_provisioner(a->core, now) &&
+                  rr_core_all_admit(a->core);
+    if (writes) {
+        rr_load_begin(&state->load);
+        rr_core_each_machine(a->core, visit_machine, &state->load);
+        rr_core_each_job(a->core, visit_job, &state->load);
+        rr_core_guard_term(a->core, txn);
+        pthread_mutex_lock(&state->lock);
+        const rr_admission_table *table = rr_admission_newest(state->admission);
+        *newest = *table;
+        newest->rows = g_array_copy(table->rows);
+        newest->teams = g_array_copy(table->teams);
+        rr_admission_demand(state->admission, now, demand);
+        pthread_mutex_unlock(&state->lock);
+    }
+    pthread_mutex_unlock(&a->lock);
+    return writes;
+}
+
+static bool commit_table(struct rr_app *a, rr_store *store, const rr_admission_table *table,
+                         rr_txn *txn) {
+    struct rr_app_admission *state = a->admission;
+    pthread_mutex_lock(&state->lock);
+    bool fits = rr_admission_write(state->admission, table, txn);
+    pthread_mutex_unlock(&state->lock);
+    uint64_t revision = 0;
+    enum rr_commit rc = RR_INVALID;
+    if (fits) {
+        rc = rr_store_commit(store, RR_PRIO_STEWARD, txn, COMMIT_S, &revision, NULL);
+    }
+    if (rc == RR_COMMITTED) {
+        pthread_mutex_lock(&a->lock);
+        rr_core_apply(a->core, txn, revision, rr_now());
+        pthread_mutex_unlock(&a->lock);
+    } else {
+        rr_log(RR_INFO_LEVEL, "admission: table %" G_GUINT64_FORMAT " was not written (%d)",
+               table->sequence, (int)rc);
+    }
+    return rc == RR_COMMITTED;
+}
+
+/* A try that fails is repeated with what is known then: in doubt the records' guards decide. */
+static void write_table(struct rr_app *a, rr_store *store, double edge) {
+    struct rr_app_admission *state = a->admission;
+    rr_admission_table newest, table;
+    GArray *demand = g_array_new(FALSE, TRUE, sizeof(rr_demand_total));
+    rr_txn txn;
+    rr_txn_init(&txn);
+    if (gather(a, demand, &newest, &txn)) {
+        bool wanted = rr_admission_writer_next(state->writer, &state->load, demand, &newest,
+                                               rr_wall(), rr_now(), &table);
+        rr_log(RR_DEBUG_LEVEL, "admission: table %" G_GUINT64_FORMAT ", %u rows%s", table.sequence,
+               table.rows->len, wanted ? "" : ", not needed");
+        bool settled = !wanted || commit_table(a, store, &table, &txn);
+        if (settled) {
+            state->settled_for = edge;
+        }
+        if (settled && table.active != newest.active) {
+            rr_log(RR_INFO_LEVEL, "admission: overload %s", table.active ? "begins" : "is over");
+        }
+        pthread_mutex_lock(&state->lock);
+        rr_admission_writer_get_stats(state->writer, &state->written);
+        pthread_mutex_unlock(&state->lock);
+        rr_admission_table_clear(&table);
+        rr_admission_table_clear(&newest);
+    }
+    rr_txn_clear(&txn);
+    g_array_free(demand, TRUE);
+}
+
+/* The rooms of the table in force, for this controller's own plans. */
+static void set_fair_room(struct rr_app *a, double wall) {
+    struct rr_app_admission *state = a->admission;
+    double rooms[RR_MAX_TEAMS];
+    pthread_mutex_lock(&a->lock);
+    pthread_mutex_lock(&state->lock);
+    const rr_admission_table *table = rr_admission_table_at(state->admission, wall);
+    bool fresh = table && table->active && rr_core_all_admit(a->core) &&
+                 wall < table->starts_at + (1 + RR_ADMISSION_STALE_INTERVALS) * table->length_s;
+    for (size_t i = 0; fresh && i < a->cfg.nteams; i++) {
+        const rr_admission_team *team = rr_admission_table_team(table, a->cfg.teams[i].name);
+        rooms[i] = team ? team->room : 1;
+    }
+    rr_core_set_fair_room(a->core, fresh ? rooms : NULL, fresh ? table->cpu : 0,
+                          fresh ? table->gpu : 0, fresh ? table->mem : 0);
+    pthread_mutex_unlock(&state->lock);
+    pthread_mutex_unlock(&a->lock);
+}
+
+static bool table_due(struct rr_app_admission *state, double wall, double edge) {
+    if (edge == state->settled_for) {
+        return false;
+    }
+    pthread_mutex_lock(&state->lock);
+    bool due = rr_admission_writer_due(state->writer, rr_admission_newest(state->admission), wall);
+    pthread_mutex_unlock(&state->lock);
+    return due;
+}
+
+void *rr_duty_admission(void *app) {
+    struct rr_app *a = app;
+    struct rr_app_admission *state = a->admission;
+    rr_usage_enter(RR_USE_ADMISSION);
+    rr_store *store = rr_store_create(&a->cfg.state, a->budget, &a->stop);
+    double length = a->admission_settings.interval_s, tried_at = 0;
+    while (!atomic_load(&a->stop)) {
+        rr_sleep(fmin(length / LOOKS, LOOK_MAX_S));
+        double wall = rr_wall();
+        pthread_mutex_lock(&state->lock);
+        rr_admission_tick(state->admission, wall, rr_now());
+        pthread_mutex_unlock(&state->lock);
+        tell_demand(a, wall);
+        double edge = floor(wall / length) * length;
+        if (table_due(state, wall, edge) && rr_now() - tried_at > RETRY * length) {
+            tried_at = rr_now();
+            write_table(a, store, edge);
+        }
+        set_fair_room(a, wall);
+    }
+    rr_store_destroy(store);
+    rr_usage_leave();
+    return NULL;
+}
--- a/src/app/app.c
+++ b/src/app/app.c
@@ -72,6 +72,10 @@
 
 #define STORE_FRESH_S 2.0
 
+static void on_demand(void *user, int peer, const void *data, size_t len) {
+    rr_app_admission_heard(user, peer, data, len);
+}
+
 static bool on_resign(void *user, uint64_t tether, bool end) {
     struct rr_app *a = user;
     pthread_mutex_lock(&a->lock);
@@ -107,8 +111,8 @@
 /* Beside the connections': main, the door's own two and its opener, the duties, the senders and the
  * peers' threads; and two sockets for each that calls out: a client keeps one and opens another. */
 int rr_app_connections(const struct rr_config *cfg) {
-    int threads = 4 + (int)G_N_ELEMENTS(duties) + cfg->tune.senders + 1 + (int)cfg->npeers +
-                  RR_PEER_CONNS + SPARE;
+    int threads = 4 + (int)G_N_ELEMENTS(duties) + cfg->admission + cfg->tune.senders + 1 +
+                  (int)cfg->npeers + RR_PEER_CONNS + SPARE;
     return rr_door_limit(cfg, threads, 2 * threads);
 }
 
@@ -118,7 +122,8 @@
 }
 
 int rr_app_start(struct rr_app *a) {
-    struct rr_peer_events ev = {a, on_peer_report, on_heard, on_suspect, on_cancelled, on_resign};
+    struct rr_peer_events ev = {a,         on_peer_report, on_heard, on_suspect, on_cancelled,
+                                on_resign, on_demand};
     pthread_mutex_init(&a->lock, NULL);
     pthread_mutex_init(&a->user_lock, NULL);
     rr_app_cond_init(&a->mirrored);
@@ -139,7 +144,8 @@
     a->budget = rr_budget_create(a->cfg.state_rps, a->cfg.state_write_rps);
     rr_budget_next(a->budget, a->cfg.next_rps, a->cfg.next_write_rps);
     a->peers = rr_peers_create(&a->cfg, &ev, &a->stop);
-    int rc = rr_peers_start(a->peers);
+    int rc = rr_app_admission_start(a);
+    rc = rc == 0 ? rr_peers_start(a->peers) : rc;
     if (rc != 0) {
         rr_log(RR_ERROR_LEVEL, "peer_listen: %s", strerror(-rc));
         goto fail;
@@ -156,6 +162,9 @@
     for (int i = 0; rc == 0 && i < a->cfg.tune.senders; i++) {
         rc = run(a, i % 3 == 0 ? rr_duty_sender : rr_duty_slow_sender);
     }
+    if (rc == 0 && a->admission) {
+        rc = run(a, rr_duty_admission);
+    }
     if (rc == 0) {
         rc = rr_thread_start(&a->opener, rr_duty_door, a, false);
         a->opening = rc == 0;
@@ -197,4 +206,5 @@
     rr_stats_destroy(a->stats);
     rr_budget_destroy(a->budget);
     rr_core_destroy(a->core);
+    rr_app_admission_stop(a);
 }
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -2,6 +2,7 @@
 #ifndef RR_APP_APP_H
 #define RR_APP_APP_H
 
+#include "admission/settings.h"
 #include "core/core.h"
 #include "http/door.h"
 #include "peer/peer.h"
@@ -49,6 +50,8 @@
     } barrier[2];
     uint64_t gathers; /* the group that gathers now */
 
+    rr_admission_settings admission_settings; /* cleared by rr_app_stop() */
+    struct rr_app_admission *admission;       /* NULL: switched off */
     rr_budget *budget;
     rr_stats *stats;
     rr_peers *peers;
@@ -95,6 +98,17 @@
 /* A report that a peer has passed on. */
 void rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via, unsigned hops);
 
+/* admission_duty.c. All do nothing where admission is switched off. */
+int rr_app_admission_start(struct rr_app *a); /* before the threads; 0 or -errno */
+void rr_app_admission_stop(struct rr_app *a); /* after they have ended */
+/* Whether a valid submission of an unknown job is admitted; if not, when to come back. */
+bool rr_app_admission_ask(struct rr_app *a, const rr_submission *s, int *retry_after_s);
+void rr_app_admission_accepted(struct rr_app *a, const rr_submission *s);
+/* A peer's view of the demand. */
+void rr_app_admission_heard(struct rr_app *a, int peer, const void *data, size_t len);
+void rr_app_admission_log(struct rr_app *a);
+void *rr_duty_admission(void *app);
+
 /* handlers.c */
 void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs);
 
--- a/src/app/duties.c
+++ b/src/app/duties.c
@@ -116,7 +116,7 @@
     }
     rr_txn_init(&t);
     rr_out_init(&o);
-    rr_core_node_put(&o, *tether);
+    rr_core_node_put(&a->cfg, &o, *tether);
     rr_txn_guard(&t, key, mark);
     rr_txn_put(&t, key, &o, *tether);
     rc = rr_store_commit(s, RR_PRIO_SESSION, &t, 1.5, &epoch, NULL) == RR_COMMITTED ? 0 : -EAGAIN;
@@ -229,6 +229,7 @@
     pthread_mutex_lock(&a->lock);
     rr_core_get_stats(a->core, &st);
     pthread_mutex_unlock(&a->lock);
+    rr_app_admission_log(a);
     char used[256];
     rr_usage_line(used, sizeof used);
     struct mallinfo2 heap = mallinfo2();
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -143,7 +143,15 @@
         pthread_mutex_unlock(&a->lock);
     }
     if (rc == 0 && admit == RR_ADMIT_OK) {
-        accept_job(a, &s, rs);
+        int retry_after_s = 0;
+        if (!rr_app_admission_ask(a, &s, &retry_after_s)) {
+            refuse(rs, 503, "the fair share is used up", retry_after_s);
+        } else {
+            accept_job(a, &s, rs);
+        }
+        if (rs->status == 201) {
+            rr_app_admission_accepted(a, &s);
+        }
         rr_submission_clear(&s);
         return;
     }
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -23,7 +23,7 @@
 __attribute__((section(".preinit_array"), used)) static void (*const before_glib)(void) = no_slices;
 
 struct options {
-    char *config, *settings;
+    char *config, *settings, *admission;
     gboolean version, check;
 };
 
@@ -46,6 +46,8 @@
          "FILE"},
         {"settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings,
          "The operators' own settings; or RINGROCK_SETTINGS in the environment", "FILE"},
+        {"admission", 'a', 0, G_OPTION_ARG_FILENAME, &o->admission,
+         "Switches fair admission on; or RINGROCK_ADMISSION in the environment", "FILE"},
         {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
         {0}};
@@ -91,6 +93,16 @@
     return 0;
 }
 
+static int load_settings(const struct options *o, struct rr_app *app, char *err, size_t size) {
+    int rc = rr_settings_load(o->config, o->settings, &app->cfg, err, size);
+    if (rc == 0 && o->admission) {
+        rc = rr_admission_settings_load(o->admission, &app->cfg, &app->admission_settings, err,
+                                        size);
+        app->cfg.admission = rc == 0;
+    }
+    return rc;
+}
+
 int main(int argc, char **argv) {
     struct options o = {0};
     char err[512] = "";
@@ -104,7 +116,10 @@
     if (!o.settings) {
         o.settings = g_strdup(getenv("RINGROCK_SETTINGS"));
     }
-    if (rr_settings_load(o.config, o.settings, &app->cfg, err, sizeof err) != 0) {
+    if (!o.admission) {
+        o.admission = g_strdup(getenv("RINGROCK_ADMISSION"));
+    }
+    if (load_settings(&o, app, err, sizeof err) != 0) {
         fprintf(stderr, "ringrock: %s\n", err);
         rc = 2;
     } else if (rr_app_connections(&app->cfg) < RR_CONNECTIONS_LEAST) {
@@ -123,5 +138,6 @@
 end:
     g_free(o.config);
     g_free(o.settings);
+    g_free(o.admission);
     return rc;
 }
--- a/src/app/usage.c
+++ b/src/app/usage.c
@@ -7,7 +7,7 @@
 #define THREADS_MAX 192 /* more are not told apart from the door's */
 
 static const char *const names[RR_USES] = {"session",     "mirror",  "users", "planner",
-                                           "provisioner", "senders", "peers"};
+                                           "provisioner", "senders", "peers", "admission"};
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct {
--- a/src/app/usage.h
+++ b/src/app/usage.h
@@ -14,6 +14,7 @@
     RR_USE_STEWARD,
     RR_USE_SENDERS,
     RR_USE_PEERS,
+    RR_USE_ADMISSION,
     RR_USES
 };
 
--- a/src/core/booking.c
+++ b/src/core/booking.c
@@ -5,7 +5,7 @@
 #define FAILURES_MAX 64         /* searches remembered within one plan */
 #define OVERFLOW_RECORDS_MAX 16 /* of one job: what it has running beyond its chunks' records */
 
-static rr_res team_used(const struct rr_planner *planner, int team) {
+rr_res rr_team_used_in_plan(const struct rr_planner *planner, int team) {
     const rr_core *core = planner->c;
     rr_res used = rr_team_used(core, team);
     if ((guint)team >= core->team_booked->len) {
@@ -16,7 +16,7 @@
 
 bool rr_within_limit(const struct rr_planner *planner, const rr_job *job, uint32_t tasks) {
     const struct rr_team_config *team = &planner->c->cfg->teams[job->team];
-    rr_res used = rr_res_add(team_used(planner, job->team), job->need, tasks);
+    rr_res used = rr_res_add(rr_team_used_in_plan(planner, job->team), job->need, tasks);
     return (team->cpus_max <= 0 || used.cpu <= team->cpus_max + RR_EPS) &&
            (team->gpus_max <= 0 || used.gpu <= team->gpus_max + RR_EPS);
 }
@@ -31,13 +31,13 @@
 
 bool rr_within_guarantee(const struct rr_planner *planner, const rr_job *job, uint32_t tasks) {
     rr_res guarantee = guarantee_of(planner->c, job->team);
-    rr_res used = rr_res_add(team_used(planner, job->team), job->need, tasks);
+    rr_res used = rr_res_add(rr_team_used_in_plan(planner, job->team), job->need, tasks);
     return used.cpu <= guarantee.cpu + RR_EPS && used.gpu <= guarantee.gpu + RR_EPS;
 }
 
 bool rr_beyond_guarantee(const struct rr_planner *planner, int team, rr_res returned) {
     rr_res guarantee = guarantee_of(planner->c, team);
-    rr_res used = rr_res_add(team_used(planner, team), returned, -1);
+    rr_res used = rr_res_add(rr_team_used_in_plan(planner, team), returned, -1);
     return used.cpu > guarantee.cpu + RR_EPS || used.gpu > guarantee.gpu + RR_EPS;
 }
 
--- a/src/core/booking.h
+++ b/src/core/booking.h
@@ -16,6 +16,14 @@
 /* The team would use more than its guarantee even after giving `returned` back. */
 bool rr_beyond_guarantee(const struct rr_planner *planner, int team, rr_res returned);
 
+/* What the team uses, with what the plan under construction has booked. */
+rr_res rr_team_used_in_plan(const struct rr_planner *planner, int team);
+/* Under overload: one more task keeps the team within its fair part of all room. */
+bool rr_within_fair_room(const struct rr_planner *planner, const rr_job *job);
+/* Under overload: how full the teams' rooms are, and what their classes use, for the jobs' turns.
+ */
+void rr_set_fair_turns(const struct rr_planner *planner, GPtrArray *waiting /* rr_job* */);
+
 /* ---- bookings ---- */
 
 /* Whether the ledger's records take one more placement of a task, whatever room machines have. */
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -79,6 +79,7 @@
     double cloud_rps, list_lag_s;
     double core_share, ram_mb;
     int max_sockets;
+    bool admission; /* fair admission is switched on here */
     struct rr_tuning tune;
 };
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -58,7 +58,7 @@
 bool rr_core_late(const rr_core *c, double now, double within); /* so, not longer ago than this */
 /* Whether our node key stands in the mirror with this lease. */
 bool rr_core_session_seen(const rr_core *c, uint64_t tether);
-void rr_core_node_put(rr_out *o, uint64_t tether);
+void rr_core_node_put(const struct rr_config *cfg, rr_out *o, uint64_t tether);
 /* The transaction that makes the next term if the sessions differ from the present one; false:
  * nothing to change. */
 bool rr_core_next_term(rr_core *c, double now, double wall, rr_txn *out);
@@ -179,6 +179,30 @@
 void rr_core_rented(rr_core *c, double now, const rr_step *s, int status, const GPtrArray *ids);
 void rr_core_released(rr_core *c, double now, const GPtrArray *ids);
 
+/* ---- for packages beside the core (observe.c) ---- */
+/* Hands every record under this prefix to fn, with the rest of its key, whenever
+ * the mirror takes it. One prefix; set once, before the first record comes. */
+typedef void (*rr_core_record_fn)(void *user, const char *rest, const msgpack_object *value,
+                                  uint64_t version);
+void rr_core_watch_records(rr_core *c, const char *prefix, rr_core_record_fn fn, void *user);
+/* Recorded machines that are neither returned nor gone. */
+typedef void (*rr_core_machine_fn)(void *user, const char *type, const char *zone, double cpu,
+                                   double gpu, double mem);
+void rr_core_each_machine(const rr_core *c, rr_core_machine_fn fn, void *user);
+/* Jobs kept as more than a line; of a final one nothing waits. team: of the settings. */
+typedef void (*rr_core_job_fn)(void *user, const rr_submission *submission, int team,
+                               uint32_t waiting, uint32_t placed, uint32_t done);
+void rr_core_each_job(const rr_core *c, rr_core_job_fn fn, void *user);
+bool rr_core_job_known(const rr_core *c, const char *job_id);
+/* A change that only this term's provisioner may make. */
+void rr_core_guard_term(const rr_core *c, rr_txn *t);
+/* Every controller of the term takes part in fair admission. */
+bool rr_core_all_admit(const rr_core *c);
+double rr_core_mirror_age(const rr_core *c, double now); /* it surely had every change before */
+/* Under overload no team fills more than its part of all room (rooms, by team of the settings)
+ * while others wait; NULL: no overload. The rooms are copied. */
+void rr_core_set_fair_room(rr_core *c, const double *rooms, double cpu, double gpu, double mem);
+
 /* ---- for logs and tests ---- */
 typedef struct {
     unsigned machines, booting, jobs_open, tasks_waiting, tasks_placed, moves;
--- /dev/null
+++ b/src/core/fair_room.c
@@ -0,0 +1,68 @@
+/* Fair room: while admission limits, what it grants a team also bounds and orders what its owner
+ * places. */
+#include "core/booking.h"
+
+#include <math.h>
+
+void rr_core_set_fair_room(rr_core *c, const double *rooms, double cpu, double gpu, double mem) {
+    c->fair = rooms != NULL;
+    c->all_room = (rr_res){cpu, gpu, mem};
+    for (size_t i = 0; rooms && i < c->cfg->nteams; i++) {
+        c->fair_room[i] = rooms[i];
+    }
+}
+
+static double part_of(double used, double all) {
+    return all > 0 ? used / all : 0;
+}
+
+static double dominant_part(const rr_core *c, rr_res used) {
+    double cpu = part_of(used.cpu, c->all_room.cpu), gpu = part_of(used.gpu, c->all_room.gpu);
+    return fmax(fmax(cpu, gpu), part_of(used.mem, c->all_room.mem));
+}
+
+/* A team at its fair part of all room leaves what is free to others: an owner sees only its own
+ * teams, and two owners would race for it. Not held back are replicas of prod rank, what is within
+ * a guarantee, and who has waited so long that the room is evidently of no use to others. */
+#define FAIR_WAIT_S 60.0
+
+bool rr_within_fair_room(const struct rr_planner *planner, const rr_job *job) {
+    const rr_core *c = planner->c;
+    if (!c->fair || job->s.rank == RR_PROD || planner->wall - job->at > FAIR_WAIT_S ||
+        rr_within_guarantee(planner, job, 1)) {
+        return true;
+    }
+    rr_res used = rr_res_add(rr_team_used_in_plan(planner, job->team), job->need, 1);
+    return dominant_part(c, used) <= c->fair_room[job->team] + RR_EPS;
+}
+
+/* What every class of every team uses: by team, then by class. */
+static rr_res *count_classes(const rr_core *c, guint classes) {
+    rr_res *used = g_new0(rr_res, c->cfg->nteams * classes + 1);
+    for (guint i = 0; i < c->open->len; i++) {
+        const rr_job *job = g_ptr_array_index(c->open, i);
+        if (job->team >= 0 && (size_t)job->team < c->cfg->nteams && job->job_class >= 0) {
+            rr_res *of_class = &used[(guint)job->team * classes + (guint)job->job_class];
+            *of_class = rr_res_add(*of_class, job->need, job->nplaced);
+        }
+    }
+    return used;
+}
+
+void rr_set_fair_turns(const struct rr_planner *planner, GPtrArray *waiting) {
+    const rr_core *c = planner->c;
+    guint classes = c->job_classes.names->len;
+    rr_res *used = c->fair ? count_classes(c, classes) : NULL;
+    for (guint i = 0; i < waiting->len; i++) {
+        rr_job *job = g_ptr_array_index(waiting, i);
+        job->team_fill = job->class_fill = 0;
+        if (used && job->job_class >= 0) {
+            rr_res team = rr_team_used(c, job->team);
+            double room = c->fair_room[job->team];
+            job->team_fill = room > 0 ? dominant_part(c, team) / room : 1;
+            job->class_fill =
+                dominant_part(c, used[(guint)job->team * classes + (guint)job->job_class]);
+        }
+    }
+    g_free(used);
+}
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -133,6 +133,7 @@
     if (!c) {
         return;
     }
+    g_free(c->record_prefix);
     g_array_free(c->plan_moves, TRUE);
     g_array_free(c->arrivals, TRUE);
     g_array_free(c->cut_at, TRUE);
@@ -961,6 +962,8 @@
         rr_build_put(c, v);
     } else if (after(key, RR_ROOT "batch/")) {
         put_batch(c, key, v, mark, now);
+    } else if (c->record_prefix && (rest = after(key, c->record_prefix))) {
+        c->record_fn(c->record_user, rest, v, mark);
     } else {
         /* An earlier version's ledger (by machine) and whatever else: passed over. */
         rr_log_at(c, RR_LOG_DEBUG, "record %s is of no known form", key);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -94,6 +94,8 @@
     bool listed, ending;      /* scratch of one plan */
     bool resting;             /* final and out of use since the last look */
     uint32_t missing;         /* likewise: tasks that one change would bring back, 0: no matter */
+    double team_fill;         /* likewise, under overload: how full its team's fair room is, */
+    double class_fill;        /* and what its class fills of all room */
     uint32_t lost;            /* scratch of one simulation: placements on machines that are gone */
     int zone;                 /* of completed tasks of a one-zone job, -1 */
     GArray *failed_on;        /* rr_machine ids (int) where a task failed */
@@ -272,6 +274,14 @@
     int changes;    /* that a plan may make now */
     unsigned plans;
 
+    /* Given by packages beside the core. */
+    char *record_prefix; /* NULL: none */
+    rr_core_record_fn record_fn;
+    void *record_user;
+    bool fair;                      /* the next two hold */
+    double fair_room[RR_MAX_TEAMS]; /* part of all room, by team of the settings */
+    rr_res all_room;
+
     /* Counters, for the log and the tests of growth. */
     unsigned visits; /* machines looked at */
     unsigned moves_made, probing, rented, given_up, leases_lost, notices;
@@ -353,6 +363,10 @@
 bool rr_in_term(const rr_core *c);
 /* Every controller of the term knows gangs. One that comes back in an older version ends that. */
 bool rr_all_able(const rr_core *c);
+/* So does each of them, and takes part in fair admission. */
+#define RR_ABLE_GANGS 1
+#define RR_ABLE_ADMISSION 2
+bool rr_all_able_to(const rr_core *c, uint64_t able);
 /* A number that no other attempt has, of whatever controller and term; later ones are higher within
  * a team. */
 uint64_t rr_next_attempt(rr_core *c);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -55,6 +55,10 @@
 
 /* ---- jobs ---- */
 
+static bool may_take_more(const struct rr_planner *p, const rr_job *j) {
+    return rr_within_limit(p, j, 1) && rr_within_fair_room(p, j);
+}
+
 static void place_job(struct rr_planner *p, rr_job *j, int *left) {
     rr_core *c = p->c;
     if (j->s.shape == RR_GANG) {
@@ -98,7 +102,7 @@
         if (bookable != RR_BOOKABLE) {
             continue;
         }
-        if (!rr_within_limit(p, j, 1)) {
+        if (!may_take_more(p, j)) {
             return;
         }
         if (!place_task(p, j, task, &how)) {
@@ -130,6 +134,12 @@
     if (x->missing != y->missing) {
         return x->missing > y->missing ? -1 : 1;
     }
+    if (x->team_fill != y->team_fill) {
+        return x->team_fill < y->team_fill ? -1 : 1;
+    }
+    if (x->class_fill != y->class_fill) {
+        return x->class_fill < y->class_fill ? -1 : 1;
+    }
     double dx = latest_start(x), dy = latest_start(y);
     if (x->s.rank < RR_PROD && dx != dy) {
         return dx < dy ? -1 : 1;
@@ -240,6 +250,7 @@
     p->c->plans++;
     struct early early = place_early(p, wait, retry, &left);
     set_missing(p, wait);
+    rr_set_fair_turns(p, wait);
     g_ptr_array_sort(wait, by_turn);
     for (guint i = 0; i < wait->len && !p->full && left > 0; i++) {
         rr_job *j = g_ptr_array_index(wait, i);
@@ -247,7 +258,8 @@
             rr_reserve_for_gang(p, early.reserve);
             early.reserve = NULL;
         }
-        if (p->now - j->failed_at >= retry && j != early.gang && j != early.job) {
+        if (p->now - j->failed_at >= retry && j != early.gang && j != early.job &&
+            rr_within_fair_room(p, j)) {
             place_job(p, j, &left);
         }
     }
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -19,12 +19,10 @@
 
 /* What this version can do beyond the first ones, told in its session's record. Those pass over the
  * field. */
-#define ABLE_GANGS 1
-
-void rr_core_node_put(rr_out *o, uint64_t tether) {
+void rr_core_node_put(const struct rr_config *cfg, rr_out *o, uint64_t tether) {
     rr_put_map(o, 2);
     rr_put_key_u64(o, "tether", tether);
-    rr_put_key_u64(o, "able", ABLE_GANGS);
+    rr_put_key_u64(o, "able", cfg->admission ? RR_ABLE_ADMISSION : RR_ABLE_GANGS);
 }
 
 bool rr_core_peers_able(const rr_core *c) {
@@ -32,11 +30,15 @@
 }
 
 bool rr_all_able(const rr_core *c) {
+    return rr_all_able_to(c, RR_ABLE_GANGS);
+}
+
+bool rr_all_able_to(const rr_core *c, uint64_t able) {
     bool all = c->term.nodes->len > 0;
     for (guint i = 0; i < c->term.nodes->len; i++) {
         const rr_session *t = &g_array_index(c->term.nodes, rr_session, i);
         const rr_session *s = g_hash_table_lookup(c->sessions, t->name);
-        all = all && s && s->tether == t->tether && s->able >= ABLE_GANGS;
+        all = all && s && s->tether == t->tether && s->able >= able;
     }
     return all;
 }
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -38,6 +38,7 @@
     GHashTable *heard[2]; /* machine -> rr_heard, by hops */
     GPtrArray *suspects;  /* char* */
     rr_cancellations *cancelled;
+    GBytes *demand;  /* to be told, NULL: none */
     unsigned life;   /* counts losses: what was sent before may not have arrived */
     double up_at;    /* since when our connection to it stands */
     double patience; /* how long it may stand without a sign that it works */
@@ -194,7 +195,7 @@
 /* ---- outgoing links ---- */
 
 static bool has_news(struct link *l) {
-    return !g_queue_is_empty(&l->queue) || l->suspects->len > 0 ||
+    return !g_queue_is_empty(&l->queue) || l->suspects->len > 0 || l->demand ||
            rr_cancellations_pending(l->cancelled, l->life, rr_now());
 }
 
@@ -259,6 +260,15 @@
     g_ptr_array_set_size(l->suspects, 0);
 }
 
+static void put_demand(struct link *l, GByteArray *out) {
+    gsize len;
+    const void *view = g_bytes_get_data(l->demand, &len);
+    guint at = rr_frame_begin(out, RR_FRAME_DEMAND);
+    g_byte_array_append(out, view, (guint)len);
+    rr_frame_end(out, at);
+    g_clear_pointer(&l->demand, g_bytes_unref);
+}
+
 /* All that is to be said to the peer now, as frames. False: stop. */
 static bool gather(struct link *l, GByteArray *out, double *beat) {
     rr_peers *p = l->owner;
@@ -295,6 +305,9 @@
     if (l->suspects->len > 0) {
         put_suspects(l, out);
     }
+    if (l->demand) {
+        put_demand(l, out);
+    }
     if (rr_cancellations_pending(l->cancelled, l->life, now)) {
         rr_cancellations_put(l->cancelled, l->life, out);
     }
@@ -310,6 +323,7 @@
     g_hash_table_remove_all(l->heard[0]);
     g_hash_table_remove_all(l->heard[1]);
     g_ptr_array_set_size(l->suspects, 0);
+    g_clear_pointer(&l->demand, g_bytes_unref);
     l->life++;
     pthread_mutex_unlock(&l->owner->lock);
 }
@@ -482,6 +496,17 @@
     }
 }
 
+void rr_peers_demand(rr_peers *p, const void *view, size_t len) {
+    pthread_mutex_lock(&p->lock);
+    for (size_t i = 0; i < p->cfg->npeers; i++) {
+        struct link *l = &p->links[i];
+        g_clear_pointer(&l->demand, g_bytes_unref);
+        l->demand = g_bytes_new(view, len);
+        pthread_cond_signal(&l->wake);
+    }
+    pthread_mutex_unlock(&p->lock);
+}
+
 void rr_peers_suspects(rr_peers *p, const GPtrArray *names) {
     if (names->len == 0) {
         return;
@@ -649,6 +674,12 @@
         return c->late ? 0 : serve_suspects(p, u);
     case RR_FRAME_CANCELLED:
         return serve_cancelled(p, u);
+    case RR_FRAME_DEMAND:
+        /* Malformed or not, the link's other frames are good: the hearer drops and counts it. */
+        if (!c->late && c->peer >= 0) {
+            p->ev.demand(p->ev.user, c->peer, u->p, u->left);
+        }
+        return 0;
     case RR_FRAME_RELAY:
         return serve_relay(c->fd, client, u);
     case RR_FRAME_RESIGN:
@@ -884,6 +915,7 @@
         g_hash_table_destroy(p->links[i].heard[1]);
         g_ptr_array_free(p->links[i].suspects, TRUE);
         rr_cancellations_destroy(p->links[i].cancelled);
+        g_clear_pointer(&p->links[i].demand, g_bytes_unref);
         pthread_cond_destroy(&p->links[i].wake);
     }
     g_hash_table_destroy(p->sent);
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -27,6 +27,8 @@
     /* A peer that has lost the state service asks whether we have it (end false), or to end its
      * lease for it. True: yes, or done. */
     bool (*resign)(void *user, uint64_t tether, bool end);
+    /* A peer's view of the demand for admission; data is borrowed. */
+    void (*demand)(void *user, int peer, const void *data, size_t len);
 };
 
 typedef struct rr_peers rr_peers;
@@ -51,6 +53,9 @@
  */
 void rr_peers_cancelled(rr_peers *p, const char *job_id, double until);
 
+/* Tells all peers this view of the demand; one that has not gone out yet is replaced. */
+void rr_peers_demand(rr_peers *p, const void *view, size_t len);
+
 /* Asks peer i whether it reaches the state service, or to end our lease there. */
 bool rr_peers_resign(rr_peers *p, int peer, uint64_t tether, bool end);
 
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -51,6 +51,12 @@
 expect level 2 LOG_LEVEL env LOG_LEVEL=loud "$bin" --config "$dir/good.toml" --check-config
 expect operators 2 rounds "$bin" --config "$dir/good.toml" --settings "$dir/bad.hcl" --check-config
 expect environment 2 rounds env RINGROCK_SETTINGS="$dir/bad.hcl" "$bin" --config "$dir/good.toml" --check-config
+admission="$(dirname "$0")/../deploy/admission.conf"
+expect admission 0 fine "$bin" --config "$dir/good.toml" --admission "$admission" --check-config
+echo 'interval = 5' >"$dir/admission.conf"
+expect admission-unknown 2 "admission.conf:1: no such option" "$bin" --config "$dir/good.toml" --admission "$dir/admission.conf" --check-config
+expect admission-missing 2 none.conf "$bin" --config "$dir/good.toml" --admission "$dir/none.conf" --check-config
+expect admission-environment 2 admission.conf env RINGROCK_ADMISSION="$dir/admission.conf" "$bin" --config "$dir/good.toml" --check-config
 { cat "$dir/good.toml"; printf '[deployment.limits]\nmax_sockets = 100\n'; } >"$dir/sockets.toml"
 expect no-sockets 2 'no room' "$bin" --config "$dir/sockets.toml" --check-config
 [ "$fails" = 0 ]
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -265,7 +265,7 @@
     rr_out o;
     node_key(n, key, sizeof key);
     rr_out_init(&o);
-    rr_core_node_put(&o, tether);
+    rr_core_node_put(&n->cfg, &o, tether);
     fx_put(n->store, key, &o);
     rr_core_set_session(n->core, tether, n->now + 1e6);
     fx_term(n);
--- /dev/null
+++ b/tests/test_admission_hour.c
@@ -0,0 +1,344 @@
+/* Hours of overload by a fake clock: three controllers, users who come back, skewed submissions,
+ * and the failures that fair admission must survive. `test_admission_hour SEED...` runs no test,
+ * but prints the distribution of the hour for each seed, with admission and without. */
+#include "admission_model.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const four_teams[] = {"red", "blue", "green", "gold", NULL};
+
+/* One team asks for twenty times what another does, all at one controller; its small jobs come
+ * beside large ones of its own and of another team. */
+static void skewed(struct model *model) {
+    static const struct model_stream streams[] = {
+        {"red", "flood", 20, 20, 1, 0, 0, 1, 0},   {"red", "large", 0.004, 20, 1, 0, 0, 80, 0},
+        {"blue", "small", 1, 20, 1, 0, 0, 1, -1},  {"blue", "large", 0.004, 20, 1, 0, 0, 80, -1},
+        {"green", "mid", 0.1, 20, 1, 0, 0, 10, 1}, {"gold", "small", 1, 20, 1, 0, 0, 1, 2},
+    };
+    model_init(model, four_teams);
+    memcpy(model->streams, streams, sizeof streams);
+    model->stream_count = G_N_ELEMENTS(streams);
+}
+
+static double served_part(const struct model *model, const char *team) {
+    double served = 0, fair = 0;
+    for (unsigned i = 0; i < model->stream_count; i++) {
+        bool counts = strcmp(model->streams[i].team, team) == 0;
+        served += counts ? model->results[i].served : 0;
+        fair += counts ? model->results[i].fair_served : 0;
+    }
+    return fair > 0 ? served / fair : 1;
+}
+
+/* No team and no class of a team waits more than twice as long as in the fair cluster. Each team is
+ * served nearly as much, and each class half as much at least: users give up after a minute here,
+ * and never in the fair cluster. */
+static void assert_fair(const struct model *model) {
+    for (size_t i = 0; i < model->config.nteams; i++) {
+        const char *team = model->config.teams[i].name;
+        assert_true(model_team_ratio(model, team) <= 2);
+        assert_true(served_part(model, team) >= 0.8);
+    }
+    for (unsigned i = 0; i < model->stream_count; i++) {
+        const struct model_result *result = &model->results[i];
+        assert_true(result->begun > 0);
+        assert_true(model_wait_ratio(model, i) <= 2);
+        assert_true(result->served >= 0.5 * result->fair_served);
+    }
+}
+
+static void an_hour_of_skewed_submissions(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model_run(&model);
+    model_print(&model, "an hour");
+    assert_fair(&model);
+    assert_int_equal(model.disagreements, 0);
+    /* The large jobs begin within four minutes, beside a flood of their own team's or another's. */
+    assert_true(model.results[1].longest_s <= 240);
+    assert_true(model.results[3].longest_s <= 240);
+    /* What is accepted is soon begun: the queue stays near its target. */
+    assert_true(model.peak_backlog <= 200 * model.processors);
+    model_clear(&model);
+}
+
+/* The same without admission: the flood's queue is everybody's. */
+static void without_admission_everybody_waits(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.admission = false;
+    model.seconds = 900;
+    model_run(&model);
+    assert_true(model_team_ratio(&model, "gold") > 10);
+    assert_true(model_team_ratio(&model, "green") > 10);
+    model_clear(&model);
+}
+
+/* ---- one controller with a stale picture ---- */
+
+#define CUT_FROM 600
+#define CUT_TO 1500
+
+static unsigned admitted_before, admitted_in_cut;
+static double work_before, work_in_cut;
+
+static void cut_one(struct model *model, double now) {
+    model->cut[1] = now >= CUT_FROM && now < CUT_TO;
+    if (now == CUT_FROM + 50) { /* three intervals and the one of its last table are over */
+        admitted_before = model->admitted_at[1];
+        work_before = model->admitted_work_at[1];
+    }
+    if (now == CUT_TO) {
+        admitted_in_cut = model->admitted_at[1] - admitted_before;
+        work_in_cut = model->admitted_work_at[1] - work_before;
+    }
+}
+
+/* Its table is too old after three intervals more: from then on it admits nothing of teams without
+ * a guarantee, and of others no more than its third of the guarantee. Back, it is in step at once.
+ */
+static void a_stale_controller_stays_within_the_guarantee(void **state) {
+    (void)state;
+    for (int guarantee = 0; guarantee <= 30; guarantee += 30) {
+        struct model model;
+        skewed(&model);
+        model.seconds = 2100;
+        model.config.teams[1].cpus = guarantee;
+        model.each_second = cut_one;
+        model_run(&model);
+        double bound = guarantee / 3.0 * (CUT_TO - CUT_FROM - 50 + 10);
+        assert_true(work_in_cut <= bound + 1e-6);
+        assert_true(guarantee ? admitted_in_cut > 0 : admitted_in_cut == 0);
+        assert_int_equal(model.disagreements, 0);
+        assert_true(model.admitted_at[1] > admitted_before + admitted_in_cut);
+        assert_true(model_team_ratio(&model, "gold") <= 2);
+        model_clear(&model);
+    }
+}
+
+/* ---- changes in the middle of an interval, and lost answers ---- */
+
+static void change_provisioner(struct model *model, double now) {
+    /* Odd times, within intervals; now and then nobody is, as in an election. */
+    unsigned second = (unsigned)now;
+    if (second % 47 == 0) {
+        model->provisioner = -1;
+    }
+    if (second % 47 == 8) {
+        model->provisioner = (int)(second / 47 % MODEL_CONTROLLERS);
+    }
+    model->lose_answer = second / 100 % 2;
+}
+
+static void provisioners_change_and_answers_are_lost(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1800;
+    model.each_second = change_provisioner;
+    model_run(&model);
+    assert_fair(&model);
+    assert_true(model.lost_answers > 0);
+    assert_int_equal(model.conflicts, 0);
+    assert_int_equal(model.disagreements, 0);
+    model_clear(&model);
+}
+
+static void restart_all(struct model *model, double now) {
+    if (now > 0 && (unsigned)now % 333 == 0) {
+        for (int i = 0; i < MODEL_CONTROLLERS; i++) {
+            model_restart(model, i);
+        }
+    }
+}
+
+/* All that they knew of the demand is gone, the tables are not. */
+static void all_restart_under_overload(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1800;
+    model.each_second = restart_all;
+    model_run(&model);
+    assert_fair(&model);
+    assert_int_equal(model.disagreements, 0);
+    model_clear(&model);
+}
+
+/* Nobody hears the others' views: the writer knows its own refusals only. */
+static void views_are_lost(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1800;
+    model.deaf_peers = true;
+    model_run(&model);
+    assert_true(model_team_ratio(&model, "gold") <= 2);
+    assert_true(model_team_ratio(&model, "green") <= 3);
+    assert_true(model.peak_backlog <= 400 * model.processors);
+    model_clear(&model);
+}
+
+/* Clocks at both ends of what the settings allow. */
+static void clocks_at_the_bounds(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1800;
+    model.clock_off_s[0] = -model.config.clock_off_s;
+    model.clock_off_s[2] = model.config.clock_off_s;
+    model_run(&model);
+    assert_fair(&model);
+    model_clear(&model);
+}
+
+/* ---- what owners say, and what teams do ---- */
+
+/* The flood's owner says a quarter of the truth, another team's owner four times it. */
+static void estimates_wrong_both_ways(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 2400;
+    model.streams[0].estimate_factor = model.streams[1].estimate_factor = 0.25;
+    model.streams[4].estimate_factor = 4;
+    model_run(&model);
+    for (size_t i = 0; i < model.config.nteams; i++) {
+        assert_true(model_team_ratio(&model, model.config.teams[i].name) <= 2.5);
+    }
+    assert_true(model.results[4].served >= 0.6 * model.results[4].fair_served);
+    assert_true(model.results[0].served <= 1.6 * model.results[0].fair_served);
+    model_clear(&model);
+}
+
+/* Gold comes after ten minutes and goes after twenty. */
+static void a_team_comes_and_goes(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1800;
+    model.streams[5].from_s = 600;
+    model.streams[5].to_s = 1200;
+    model_run(&model);
+    assert_fair(&model);
+    model_clear(&model);
+}
+
+static void alone(struct model *model) {
+    static const struct model_stream stream = {"red", "flood", 20, 20, 1, 0, 0, 1, -1};
+    model_init(model, four_teams);
+    model->streams[0] = stream;
+    model->stream_count = 1;
+    model->seconds = 1200;
+}
+
+/* What others don't use is used: a team by itself gets as much done as without admission. */
+static void unused_share_is_used(void **state) {
+    (void)state;
+    struct model with, without;
+    alone(&with);
+    alone(&without);
+    without.admission = false;
+    model_run(&with);
+    model_run(&without);
+    assert_true(with.results[0].served >= 0.97 * without.results[0].served);
+    model_clear(&with);
+    model_clear(&without);
+}
+
+/* Without overload nobody is refused, and the state service sees no change. */
+static void without_overload_nothing_changes(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1200;
+    model.streams[0].jobs_per_s = 0.5;
+    model.processors = 120;
+    model_run(&model);
+    for (unsigned i = 0; i < model.stream_count; i++) {
+        assert_int_equal(model.results[i].given_up, 0);
+    }
+    assert_int_equal(model.tables_written, 0);
+    model_clear(&model);
+}
+
+/* A rolling restart with a second file: gold weighs three times as much from the first controller
+ * that has it and is the provisioner. */
+static void new_weights(struct model *model, double now) {
+    if (now == 600) {
+        model->settings[1].teams[3].weight = 3;
+        model_restart(model, 1);
+        model->provisioner = 1;
+    }
+    if (now == 660) {
+        model->settings[0].teams[3].weight = 3;
+        model_restart(model, 0);
+    }
+}
+
+static void weights_change_in_a_rolling_restart(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 2400;
+    model.streams[5].jobs_per_s = 20; /* gold floods as well */
+    model.each_second = new_weights;
+    model_run(&model);
+    assert_int_equal(model.disagreements, 0);
+    assert_true(model.results[5].served > 1.5 * model.results[0].served);
+    assert_true(model_team_ratio(&model, "green") <= 2);
+    model_clear(&model);
+}
+
+static void print_hours(int argc, char **argv) {
+    for (int i = 1; i < argc; i++) {
+        for (int on = 0; on < 2; on++) {
+            struct model model;
+            skewed(&model);
+            model.seed = (unsigned)strtoul(argv[i], NULL, 10);
+            model.admission = on;
+            model_run(&model);
+            model_print(&model, on ? "with admission" : "without");
+            for (size_t team = 0; team < model.config.nteams; team++) {
+                const char *name = model.config.teams[team].name;
+                printf("  %-6s all: ratio %.2f\n", name, model_team_ratio(&model, name));
+            }
+            printf("  disagreements %u, peak backlog %.0f s of all processors\n",
+                   model.disagreements, model.peak_backlog / model.processors);
+            model_clear(&model);
+        }
+    }
+}
+
+int main(int argc, char **argv) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(an_hour_of_skewed_submissions),
+        cmocka_unit_test(without_admission_everybody_waits),
+        cmocka_unit_test(a_stale_controller_stays_within_the_guarantee),
+        cmocka_unit_test(provisioners_change_and_answers_are_lost),
+        cmocka_unit_test(all_restart_under_overload),
+        cmocka_unit_test(views_are_lost),
+        cmocka_unit_test(clocks_at_the_bounds),
+        cmocka_unit_test(estimates_wrong_both_ways),
+        cmocka_unit_test(a_team_comes_and_goes),
+        cmocka_unit_test(unused_share_is_used),
+        cmocka_unit_test(without_overload_nothing_changes),
+        cmocka_unit_test(weights_change_in_a_rolling_restart),
+    };
+    if (argc > 1) {
+        print_hours(argc, argv);
+        return 0;
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_core_troubles.c
+++ b/tests/test_core_troubles.c
@@ -328,7 +328,7 @@
         fx_sync(w->store, peer.core, peer.now);
         rr_out o;
         rr_out_init(&o);
-        rr_core_node_put(&o, 9);
+        rr_core_node_put(&n->cfg, &o, 9);
         fx_put(w->store, RR_ROOT "node/n1", &o);
         rr_core_set_session(peer.core, 9, 1e6);
         /* The old incarnation has seen the new node and prepares the next term, then dies. */
@@ -340,7 +340,7 @@
         }
         fx_node_init(&again, w->store, "n0");
         rr_out_init(&o);
-        rr_core_node_put(&o, 77);
+        rr_core_node_put(&n->cfg, &o, 77);
         fx_put(w->store, RR_ROOT "node/n0", &o);
         rr_core_set_session(again.core, 77, 1e6);
         fx_sync(w->store, again.core, again.now);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -18,7 +18,7 @@
     struct rr_config cfg;
     struct rr_peers *peers;
     atomic_bool stop;
-    atomic_uint reports, lines, cancelled;
+    atomic_uint reports, lines, cancelled, views;
     int listener; /* the scripted peer's */
     int to;       /* its connection to us */
 };
@@ -50,6 +50,13 @@
     atomic_fetch_add(&f->cancelled, 1);
 }
 
+static void on_demand(void *user, int peer, const void *data, size_t len) {
+    struct fixture *f = user;
+    (void)peer;
+    assert_memory_equal(data, "a view", len);
+    atomic_fetch_add(&f->views, 1);
+}
+
 static bool on_resign(void *user, uint64_t tether, bool end) {
     (void)user;
     (void)tether;
@@ -78,7 +85,8 @@
     f->cfg.peers[0].endpoint.port = ntohs(a.sin_port);
     f->cfg.peer_listen = f->cfg.peers[0].endpoint;
     f->cfg.peer_listen.port = world_free_port();
-    struct rr_peer_events ev = {f, on_report, on_heard, on_suspect, on_cancelled, on_resign};
+    struct rr_peer_events ev = {f,         on_report, on_heard, on_suspect, on_cancelled,
+                                on_resign, on_demand};
     f->peers = rr_peers_create(&f->cfg, &ev, &f->stop);
     assert_int_equal(rr_peers_start(f->peers), 0);
     f->to = world_dial(&f->cfg.peer_listen);
@@ -296,13 +304,40 @@
     close(fd);
 }
 
+/* A view of the demand is told once, the newest one only, and a peer's is handed on. */
+static void views_of_the_demand(void **state) {
+    struct fixture *f = *state;
+    int fd = accept(f->listener, NULL, NULL);
+    assert_true(fd >= 0);
+    rr_peers_demand(f->peers, "an old view", 11);
+    rr_peers_demand(f->peers, "a view", 6);
+    while (next_frame(fd) != RR_FRAME_DEMAND) {
+    }
+    GByteArray *b = g_byte_array_new();
+    guint at = rr_frame_begin(b, RR_FRAME_SENT_AT);
+    rr_frame_u64(b, (uint64_t)(rr_wall() * 1000));
+    rr_frame_end(b, at);
+    at = rr_frame_begin(b, RR_FRAME_DEMAND);
+    g_byte_array_append(b, (const guint8 *)"a view", 6);
+    rr_frame_end(b, at);
+    send_frames(f->to, b);
+    double until = rr_now() + 20;
+    while (atomic_load(&f->views) == 0) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.01);
+    }
+    close(fd);
+}
+
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void) {
-    const struct CMUnitTest tests[] = {T(a_dead_link_is_made_anew), T(late_frames_are_dropped),
+    const struct CMUnitTest tests[] = {T(a_dead_link_is_made_anew),
+                                       T(late_frames_are_dropped),
                                        T(a_cancellation_is_told_until_heard),
                                        T(a_late_cancellation_counts),
-                                       T(a_fleet_in_one_beat)};
+                                       T(a_fleet_in_one_beat),
+                                       T(views_of_the_demand)};
     rr_net_init();
     rr_log_set_level("error");
     return cmocka_run_group_tests(tests, NULL, NULL);
