Fair admission: least shares bound rooms too; three real controllers on loopback; stronger tests

Need: taking each mechanism out once showed three that no test missed: the least share of a team (its room was bounded by its weight alone: a real fault, its accepted work could not be placed), the age of the store cache, and the turns of teams in a view that is too large; the correction of estimates was missed by its own test only.

Change: rooms are filled from the least shares up; tests for each of these. test_admission_processes starts three real controllers with an admission file each against the stand-in world, whose leases now end and whose worker goes on to another controller; the fair cluster is a module that the model and this test share.

--- a/src/admission/shares.h
+++ b/src/admission/shares.h
@@ -49,5 +49,8 @@
 /* Weighted max-min of one resource: each demand is met up to a common multiple of its weight. */
 void rr_share_water_fill(const double *demands, const double *weights, guint count, double capacity,
                          double *out);
+/* The same where everybody gets so much at least, if the demand is as large. */
+void rr_share_water_fill_least(const double *demands, const double *weights, const double *least,
+                               guint count, double capacity, double *out);
 
 #endif
--- a/src/admission/shares_fill.c
+++ b/src/admission/shares_fill.c
@@ -32,6 +32,35 @@
     }
 }
 
+static bool lift_to_least(double *demands, const double *least, guint count, double *fixed,
+                          double *capacity, const double *out) {
+    bool any = false;
+    for (guint i = 0; i < count; i++) {
+        double floor = fmin(demands[i], least[i]);
+        if (floor > out[i] + EPSILON) {
+            fixed[i] = floor;
+            demands[i] = 0; /* it takes no part in the filling any more */
+            *capacity -= floor;
+            any = true;
+        }
+    }
+    return any;
+}
+
+void rr_share_water_fill_least(const double *demands, const double *weights, const double *least,
+                               guint count, double capacity, double *out) {
+    double *open = g_memdup2(demands, count * sizeof *open);
+    double *fixed = g_malloc0_n(count + 1, sizeof *fixed);
+    do {
+        rr_share_water_fill(open, weights, count, fmax(capacity, 0), out);
+    } while (lift_to_least(open, least, count, fixed, &capacity, out));
+    for (guint i = 0; i < count; i++) {
+        out[i] += fixed[i];
+    }
+    g_free(open);
+    g_free(fixed);
+}
+
 /* How much more of the row the pool takes. */
 static double room_for(const rr_share_row *row, const double *room) {
     double most = INFINITY;
--- a/src/admission/writer.c
+++ b/src/admission/writer.c
@@ -394,7 +394,7 @@
 
 /* The part of all room that each team may fill while others wait. */
 static void fair_rooms(const rr_admission_writer *writer, const rr_load *load, double *rooms) {
-    double demands[RR_MAX_TEAMS] = {0}, weights[RR_MAX_TEAMS] = {0};
+    double demands[RR_MAX_TEAMS] = {0}, weights[RR_MAX_TEAMS] = {0}, least[RR_MAX_TEAMS] = {0};
     guint count = (guint)writer->config->nteams;
     for (guint i = 0; i < count; i++) {
         const rr_load_team *team = &load->teams[i];
@@ -402,8 +402,9 @@
                          team->used.mem + team->waiting.mem};
         demands[i] = dominant_amount(all, writer->capacity);
         weights[i] = writer->settings->teams[i].weight;
+        least[i] = writer->settings->teams[i].least_share;
     }
-    rr_share_water_fill(demands, weights, count, 1, rooms);
+    rr_share_water_fill_least(demands, weights, least, count, 1, rooms);
     for (guint i = 0; i < count; i++) {
         /* A team with all it asks for may take what is free besides. */
         rooms[i] = rooms[i] > demands[i] - EPSILON ? 1 : rooms[i];
--- a/tests/admission_model.c
+++ b/tests/admission_model.c
@@ -20,7 +20,6 @@
     rr_submission submission;
     unsigned stream;
     double came_at, next_try, accepted_at;
-    double work_left; /* in the fair cluster */
     uint32_t placed;
 };
 
@@ -43,7 +42,7 @@
     GPtrArray *asking; /* not yet accepted */
     GPtrArray *queue;  /* accepted, with tasks to place */
     GArray *running;   /* struct running */
-    GQueue fair[MODEL_STREAMS];
+    fair_cluster *fair;
     GHashTable *accepted; /* id -> job */
     struct record records[2 * RR_ADMISSION_PARTS_MAX];
     uint64_t revision, delivered[MODEL_CONTROLLERS]; /* newest, and what each cache has */
@@ -276,10 +275,9 @@
     submission->runtime_estimate_s = from->runtime_s * from->estimate_factor;
     job->stream = stream;
     job->came_at = job->next_try = state->now;
-    job->work_left = from->tasks * from->runtime_s;
     g_ptr_array_add(state->jobs, job);
     g_ptr_array_add(state->asking, job);
-    g_queue_push_tail(&state->fair[stream], job);
+    fair_cluster_submit(state->fair, stream, from->tasks * from->runtime_s, state->now);
     model->results[stream].offered++;
     return job;
 }
@@ -482,43 +480,6 @@
     model->peak_backlog = fmax(model->peak_backlog, backlog);
 }
 
-/* ---- the fair cluster ---- */
-
-/* Every stream that has work is served at once, teams by weight and their streams evenly. */
-static void serve_fair(struct model *model) {
-    struct model_state *state = model->state;
-    double demands[MODEL_STREAMS] = {0}, weights[MODEL_STREAMS] = {0}, out[MODEL_STREAMS];
-    for (unsigned i = 0; i < model->stream_count; i++) {
-        unsigned same = 0;
-        for (unsigned k = 0; k < model->stream_count; k++) {
-            same += strcmp(model->streams[i].team, model->streams[k].team) == 0 &&
-                    !g_queue_is_empty(&state->fair[k]);
-        }
-        for (GList *at = state->fair[i].head; at && demands[i] < model->processors; at = at->next) {
-            demands[i] += ((struct job *)at->data)->work_left / STEP_S;
-        }
-        weights[i] = 1.0 / MAX(same, 1);
-    }
-    rr_share_water_fill(demands, weights, model->stream_count, model->processors, out);
-    for (unsigned i = 0; i < model->stream_count; i++) {
-        double left = out[i] * STEP_S;
-        struct job *job;
-        model->results[i].fair_served += left;
-        while (left > 1e-9 && (job = g_queue_peek_head(&state->fair[i]))) {
-            if (job->work_left >= job->submission.pieces * model->streams[i].runtime_s) {
-                model->results[i].fair_wait_s += state->now - job->came_at;
-                model->results[i].fair_begun++;
-            }
-            double part = fmin(left, job->work_left);
-            job->work_left -= part;
-            left -= part;
-            if (job->work_left <= 1e-9) {
-                g_queue_pop_head(&state->fair[i]);
-            }
-        }
-    }
-}
-
 /* ---- the run ---- */
 
 void model_run(struct model *model) {
@@ -530,6 +491,11 @@
     state->running = g_array_new(FALSE, FALSE, sizeof(struct running));
     state->accepted = g_hash_table_new(g_str_hash, g_str_equal);
     state->free = model->processors;
+    const char *teams[MODEL_STREAMS];
+    for (unsigned i = 0; i < model->stream_count; i++) {
+        teams[i] = model->streams[i].team;
+    }
+    state->fair = fair_cluster_create(model->processors, teams, model->stream_count);
     for (int i = 0; i < MODEL_CONTROLLERS; i++) {
         start_controller(model, i);
     }
@@ -544,7 +510,10 @@
         users(model);
         finish_tasks(model);
         place(model);
-        serve_fair(model);
+        fair_cluster_step(state->fair, state->now, STEP_S);
+    }
+    for (unsigned i = 0; i < model->stream_count; i++) {
+        model->results[i].fair = fair_cluster_result(state->fair, i);
     }
 }
 
@@ -559,9 +528,7 @@
             g_byte_array_free(state->records[i].value, TRUE);
         }
     }
-    for (unsigned i = 0; i < MODEL_STREAMS; i++) {
-        g_queue_clear(&state->fair[i]);
-    }
+    fair_cluster_destroy(state->fair);
     g_hash_table_destroy(state->accepted);
     g_array_free(state->running, TRUE);
     g_ptr_array_free(state->queue, TRUE);
@@ -571,28 +538,26 @@
     g_free(state);
 }
 
-static double ratio_of(const struct model *model, const struct model_result *sum) {
-    double least = model->settings[0].interval_s;
-    double fair = sum->fair_begun ? sum->fair_wait_s / sum->fair_begun : 0;
-    double wait = sum->begun ? sum->wait_s / sum->begun : INFINITY;
-    return fmax(wait, least) / fmax(fair, least);
-}
-
 double model_wait_ratio(const struct model *model, unsigned stream) {
-    return ratio_of(model, &model->results[stream]);
+    const struct model_result *result = &model->results[stream];
+    return fair_wait_ratio(result->wait_s, result->begun, &result->fair,
+                           model->settings[0].interval_s);
 }
 
 double model_team_ratio(const struct model *model, const char *team) {
-    struct model_result sum = {0};
+    struct fair_result fair = {0, 0, 0};
+    double wait_s = 0;
+    unsigned begun = 0;
     for (unsigned i = 0; i < model->stream_count; i++) {
+        const struct model_result *result = &model->results[i];
         if (strcmp(model->streams[i].team, team) == 0) {
-            sum.wait_s += model->results[i].wait_s;
-            sum.begun += model->results[i].begun;
-            sum.fair_wait_s += model->results[i].fair_wait_s;
-            sum.fair_begun += model->results[i].fair_begun;
+            wait_s += result->wait_s;
+            begun += result->begun;
+            fair.wait_s += result->fair.wait_s;
+            fair.begun += result->fair.begun;
         }
     }
-    return ratio_of(model, &sum);
+    return fair_wait_ratio(wait_s, begun, &fair, model->settings[0].interval_s);
 }
 
 void model_print(const struct model *model, const char *title) {
@@ -607,8 +572,8 @@
                model->streams[i].team, model->streams[i].job_class, model->streams[i].tasks,
                r->offered, r->accepted, r->given_up, r->begun,
                r->accepted ? r->asked_s / r->accepted : 0, r->begun ? r->wait_s / r->begun : 0,
-               r->longest_s, r->fair_begun ? r->fair_wait_s / r->fair_begun : 0,
-               model_wait_ratio(model, i), r->served, r->fair_served, r->waits[0], r->waits[1],
+               r->longest_s, r->fair.begun ? r->fair.wait_s / r->fair.begun : 0,
+               model_wait_ratio(model, i), r->served, r->fair.served, r->waits[0], r->waits[1],
                r->waits[2], r->waits[3], r->waits[4], r->waits[5], r->waits[6], r->waits[7]);
     }
 }
--- a/tests/admission_model.h
+++ b/tests/admission_model.h
@@ -6,10 +6,10 @@
 #define RR_TESTS_ADMISSION_MODEL_H
 
 #include "admission/admission.h"
-#include "admission/shares.h"
+#include "fair_cluster.h"
 
 #define MODEL_CONTROLLERS 3
-#define MODEL_STREAMS 8
+#define MODEL_STREAMS FAIR_STREAMS_MAX
 
 /* Jobs of one team and class that come at random. */
 struct model_stream {
@@ -27,10 +27,8 @@
     double asked_s;           /* until they were accepted, sum */
     double wait_s, longest_s; /* of jobs that began, from the first try: sum and longest */
     double served;            /* processor seconds */
-    double fair_wait_s;       /* sum over the same jobs in the fair cluster */
-    double fair_served;       /* what that has served */
-    unsigned fair_begun;
-    unsigned waits[8]; /* under 1, 5, 15, 30, 60, 120, 240 s, and longer */
+    struct fair_result fair;  /* the same jobs in the fair cluster */
+    unsigned waits[8];        /* under 1, 5, 15, 30, 60, 120, 240 s, and longer */
 };
 
 struct model {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -232,7 +232,8 @@
     for (unsigned i = 0; i < 400; i++) {
         char id[32];
         g_snprintf(id, sizeof id, "req-%06u", i);
-        for (double true_time = START + 9.5; true_time < START + 10.5; true_time += 0.01) {
+        for (int tick = 0; tick < 100; tick++) {
+            double true_time = START + 9.5 + tick * 0.01;
             bool slow = rr_admission_decide(&tables, true_time - off, off, &key, id).kind ==
                         RR_ADMISSION_ADMIT;
             bool fast = rr_admission_decide(&tables, true_time + off, off, &key, id).kind ==
@@ -285,6 +286,38 @@
     rr_admission_table_clear(&none);
 }
 
+static enum rr_admission_kind ask(rr_admission *admission, const rr_submission *job, bool entitled,
+                                  bool all_able, double cache_age_s) {
+    rr_admission_standing standing = {entitled, all_able, cache_age_s, 3};
+    return rr_admission_ask(admission, job, &standing, START, 50).kind;
+}
+
+/* Whether there is overload or not: a controller that can't know admits its part of the guarantees,
+ * an interval at a time; unless some controller does not take part, for then nobody limits. */
+static void a_controller_that_cannot_know(void **state) {
+    (void)state;
+    struct rr_config config;
+    rr_admission_settings settings;
+    rr_submission red = job_of("red", "x", "req-1", 1), blue = job_of("blue", "x", "req-2", 1);
+    fx_config(&config, "n0");
+    config.teams[0].cpus = 6; /* a third of it for 10 s: two jobs of 10 processor seconds */
+    rr_admission_settings_init(&settings);
+    rr_admission *admission = rr_admission_create(&config, &settings);
+    for (int stale = 0; stale < 2; stale++) {
+        bool entitled = stale;
+        double age = stale ? 40.1 : 0;
+        rr_admission_tick(admission, START + 10 * stale, 50);
+        assert_int_equal(ask(admission, &red, entitled, true, age), RR_ADMISSION_ADMIT);
+        assert_int_equal(ask(admission, &red, entitled, true, age), RR_ADMISSION_ADMIT);
+        assert_int_equal(ask(admission, &red, entitled, true, age), RR_ADMISSION_STALE);
+        assert_int_equal(ask(admission, &blue, entitled, true, age), RR_ADMISSION_STALE);
+        assert_int_equal(ask(admission, &blue, entitled, false, age), RR_ADMISSION_ADMIT);
+        assert_int_equal(ask(admission, &blue, true, true, 39.9), RR_ADMISSION_ADMIT);
+    }
+    rr_admission_destroy(admission);
+    rr_admission_settings_clear(&settings);
+}
+
 /* ---- demand ---- */
 
 static void refuse_jobs(rr_demand *demand, const rr_admission_key *key, unsigned first,
@@ -354,14 +387,14 @@
 static void a_view_that_is_too_large(void **state) {
     (void)state;
     rr_demand *demand = rr_demand_create(60);
-    rr_admission_key blue = key_of("blue", "only", 1);
+    rr_admission_key single = key_of("violet", "only", 1); /* last by name and by demand */
     for (unsigned i = 0; i < 500; i++) {
         char name[32];
         g_snprintf(name, sizeof name, "class-%u", i);
         rr_admission_key key = key_of("red", name, 1);
         refuse_jobs(demand, &key, 0, 20);
     }
-    refuse_jobs(demand, &blue, 0, 1);
+    refuse_jobs(demand, &single, 0, 1);
     rr_demand_view view, read;
     GByteArray *packed = g_byte_array_new();
     bool found = false;
@@ -371,7 +404,7 @@
     assert_int_equal(rr_demand_view_unpack(packed->data, packed->len, &read), 0);
     assert_true(read.entries->len < 100);
     for (guint i = 0; i < read.entries->len; i++) {
-        found = found || g_array_index(read.entries, rr_demand_entry, i).key.id == blue.id;
+        found = found || g_array_index(read.entries, rr_demand_entry, i).key.id == single.id;
     }
     assert_true(found);
     rr_demand_view_clear(&view);
@@ -643,6 +676,7 @@
         cmocka_unit_test(the_window_goes_round),
         cmocka_unit_test(clocks_at_an_edge),
         cmocka_unit_test(old_tables_and_unknown_keys),
+        cmocka_unit_test(a_controller_that_cannot_know),
         cmocka_unit_test(demand_of_all),
         cmocka_unit_test(a_view_that_is_too_large),
         cmocka_unit_test(bad_frames),
--- a/tests/test_admission_hour.c
+++ b/tests/test_admission_hour.c
@@ -34,7 +34,7 @@
     for (unsigned i = 0; i < model->stream_count; i++) {
         bool counts = strcmp(model->streams[i].team, team) == 0;
         served += counts ? model->results[i].served : 0;
-        fair += counts ? model->results[i].fair_served : 0;
+        fair += counts ? model->results[i].fair.served : 0;
     }
     return fair > 0 ? served / fair : 1;
 }
@@ -52,7 +52,7 @@
         const struct model_result *result = &model->results[i];
         assert_true(result->begun > 0);
         assert_true(model_wait_ratio(model, i) <= 2);
-        assert_true(result->served >= 0.5 * result->fair_served);
+        assert_true(result->served >= 0.5 * result->fair.served);
     }
 }
 
@@ -217,8 +217,13 @@
     for (size_t i = 0; i < model.config.nteams; i++) {
         assert_true(model_team_ratio(&model, model.config.teams[i].name) <= 2.5);
     }
-    assert_true(model.results[4].served >= 0.6 * model.results[4].fair_served);
-    assert_true(model.results[0].served <= 1.6 * model.results[0].fair_served);
+    const rr_admission_table *table = rr_admission_newest(model.controllers[0]);
+    double low = rr_admission_table_team(table, "red")->correction;
+    double high = rr_admission_table_team(table, "green")->correction;
+    assert_true(low > 2.5 && low < 6);
+    assert_true(high > 0.15 && high < 0.4);
+    assert_true(model.results[4].served >= 0.6 * model.results[4].fair.served);
+    assert_true(model.results[0].served <= 1.6 * model.results[0].fair.served);
     model_clear(&model);
 }
 
@@ -301,6 +306,23 @@
     model_clear(&model);
 }
 
+/* A team of next to no weight that floods gets its least share all the same. */
+static void a_least_share(void **state) {
+    (void)state;
+    struct model model;
+    skewed(&model);
+    model.seconds = 1200;
+    model.streams[5].jobs_per_s = 20;
+    for (int i = 0; i < MODEL_CONTROLLERS; i++) {
+        model.settings[i].teams[3].weight = 0.01;
+        model.settings[i].teams[3].least_share = 0.3;
+    }
+    model_run(&model);
+    assert_true(model.results[5].served >= 0.25 * model.processors * model.seconds);
+    assert_true(model_team_ratio(&model, "green") <= 2);
+    model_clear(&model);
+}
+
 static void print_hours(int argc, char **argv) {
     for (int i = 1; i < argc; i++) {
         for (int on = 0; on < 2; on++) {
@@ -335,6 +357,7 @@
         cmocka_unit_test(unused_share_is_used),
         cmocka_unit_test(without_overload_nothing_changes),
         cmocka_unit_test(weights_change_in_a_rolling_restart),
+        cmocka_unit_test(a_least_share),
     };
     if (argc > 1) {
         print_hours(argc, argv);
--- /dev/null
+++ b/tests/test_admission_processes.c
@@ -0,0 +1,334 @@
+/* Three real controllers, started from the program's own file with an admission file each, against
+ * the stand-in state service, cloud and worker on loopback, under skewed submissions; one of them
+ * is killed on the way and comes back. All times are a tenth of what they are in earnest: intervals
+ * of a second, tasks of two, users who ask for six.
+ *
+ * Arguments: the program; seconds of submissions (36 if not given: an hour is 360); "off" to start
+ * the controllers without admission, for comparison: then nothing is checked, only printed. */
+#include "fakes.h"
+
+#include "app/clock.h"
+#include "fair_cluster.h"
+#include "world.h"
+
+#include <fcntl.h>
+#include <math.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define CONTROLLERS 3
+#define STREAMS 3
+#define SLOTS 16.0 /* processors of the stand-in's one machine; a task takes one */
+#define TASK_S 2.0
+#define PATIENCE_S 6.0
+#define LEAST_WAIT_S 3.0 /* an interval of admission, two report intervals, and their commands */
+#define LOOK_S 0.01
+
+extern char **environ;
+
+static const char *program;
+static double submissions_s = 36;
+static bool admission = true;
+
+/* Offered: 16 processors serve 8 tasks a second. */
+static const struct stream {
+    const char *team;
+    double jobs_per_s;
+    int controller; /* the only one that its users ask, -1: any */
+} streams[STREAMS] = {{"red", 20, 0}, {"blue", 1, -1}, {"gold", 1, 2}};
+
+struct job {
+    char id[32];
+    unsigned stream;
+    double came_at, next_try;
+};
+
+struct process {
+    struct rr_config config; /* addresses */
+    char file[256];
+    pid_t pid;
+};
+
+struct run {
+    world *w;
+    char folder[64], admission[128];
+    struct process controllers[CONTROLLERS];
+    GRand *random;
+    GPtrArray *asking, *accepted; /* struct job*; accepted owns */
+    unsigned offered[STREAMS], given_up[STREAMS], untold[STREAMS];
+    unsigned refused;
+    fair_cluster *fair;
+};
+
+/* ---- processes ---- */
+
+static void write_file(const char *path, const GString *text) {
+    assert_true(g_file_set_contents(path, text->str, (gssize)text->len, NULL));
+}
+
+static void write_config(const struct run *run, int i) {
+    const struct process *own = &run->controllers[i];
+    const struct rr_config *c = &own->config;
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text,
+                           "node_name = \"n%d\"\nzone = \"a\"\nbind = \"127.0.0.1:%u\"\n"
+                           "peer_listen = \"127.0.0.1:%u\"\n",
+                           i, c->bind.port, c->peer_listen.port);
+    for (int k = 0; k < CONTROLLERS; k++) {
+        if (k != i) {
+            g_string_append_printf(
+                text, "[[seeds]]\nnode_name = \"n%d\"\nzone = \"a\"\nendpoint = \"127.0.0.1:%u\"\n",
+                k, run->controllers[k].config.peer_listen.port);
+        }
+    }
+    g_string_append_printf(text,
+                           "[services]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n"
+                           "[deployment]\nclock_off_ms = 10.0\n",
+                           own->config.cloud.port, own->config.state.port);
+    for (int t = 0; t < STREAMS; t++) {
+        g_string_append_printf(text, "[[deployment.teams]]\nname = \"%s\"\n", streams[t].team);
+    }
+    g_string_append(text, "[deployment.workers]\nreport_s = 0.5\nlease_s = 10.0\ncancel_s = 25.0\n"
+                          "[deployment.state]\nrps = 2000.0\nwrite_rps = 1000.0\nvalue_kb = 8.0\n"
+                          "txn_ops = 16\n[deployment.cloud]\nrps = 100.0\nlist_lag_s = 0.5\n"
+                          "[deployment.limits]\nram_mb = 400.0\nmax_sockets = 1000\n");
+    write_file(own->file, text);
+    g_string_free(text, TRUE);
+}
+
+static void start_process(struct run *run, int i) {
+    struct process *own = &run->controllers[i];
+    char log[300];
+    /* Without admission the list ends after the settings. */
+    char *arguments[] = {(char *)program, "--config", own->file, admission ? "--admission" : NULL,
+                         run->admission,  NULL};
+    posix_spawn_file_actions_t actions;
+    g_snprintf(log, sizeof log, "%s/n%d.log", run->folder, i);
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, log, O_CREAT | O_WRONLY | O_APPEND, 0600);
+    assert_int_equal(posix_spawn(&own->pid, program, &actions, NULL, arguments, environ), 0);
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+static void end_process(struct process *own, int signal) {
+    kill(own->pid, signal);
+    waitpid(own->pid, NULL, 0);
+}
+
+static void wait_ready(const struct process *own) {
+    double until = rr_now() + 60;
+    while (world_call(&own->config, "GET", "/ready", NULL, 0, NULL) != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+}
+
+static void start_all(struct run *run) {
+    GString *text = g_string_new("interval_s = 1\nenter_backlog_s = 6\nleave_backlog_s = 2\n"
+                                 "target_backlog_s = 3\npatience_s = 6\n");
+    g_strlcpy(run->folder, "/tmp/admission-XXXXXX", sizeof run->folder);
+    assert_non_null(g_mkdtemp(run->folder));
+    g_snprintf(run->admission, sizeof run->admission, "%s/admission.conf", run->folder);
+    write_file(run->admission, text);
+    g_string_free(text, TRUE);
+    for (int i = 0; i < CONTROLLERS; i++) {
+        world_config(run->w, &run->controllers[i].config, "n");
+        g_snprintf(run->controllers[i].file, sizeof run->controllers[i].file, "%s/n%d.toml",
+                   run->folder, i);
+    }
+    for (int i = 0; i < CONTROLLERS; i++) {
+        write_config(run, i);
+        start_process(run, i);
+    }
+    for (int i = 0; i < CONTROLLERS; i++) {
+        wait_ready(&run->controllers[i]);
+    }
+}
+
+/* ---- users ---- */
+
+/* The status, and the time to come back that a refusal names. */
+static int submit(const struct process *to, const struct job *job) {
+    rr_submission submission;
+    rr_out out;
+    fx_submission(&submission, &(struct fx_job){.ref = job->id,
+                                                .team = streams[job->stream].team,
+                                                .job_class = "batch",
+                                                .pieces = 1,
+                                                .cpu = 1,
+                                                .mem = 1});
+    submission.runtime_estimate_s = TASK_S;
+    rr_out_init(&out);
+    rr_put_map(&out, rr_submission_field_count(&submission));
+    rr_submission_encode_fields(&out, &submission);
+    int status = world_call(&to->config, "POST", "/submissions", out.buf.data, out.buf.size, NULL);
+    rr_out_clear(&out);
+    return status;
+}
+
+/* True: this user asks no more. Retries come a second after a refusal; the stand-in's caller does
+ * not see Retry-After, which is in whole seconds and so most often just that here. */
+static bool try_job(struct run *run, struct job *job) {
+    int only = streams[job->stream].controller;
+    int to = only >= 0 ? only : g_rand_int_range(run->random, 0, CONTROLLERS);
+    int status = submit(&run->controllers[to], job);
+    if (status == 201 || status == 200) {
+        g_ptr_array_add(run->accepted, job);
+        return true;
+    }
+    assert_true(status == 503 || status == -1);
+    run->refused += status == 503;
+    double now = rr_now();
+    job->next_try = now + 1 + g_rand_double_range(run->random, 0, 0.2);
+    if (job->next_try - job->came_at <= PATIENCE_S) {
+        return false;
+    }
+    run->given_up[job->stream]++;
+    g_free(job);
+    return true;
+}
+
+static void new_jobs(struct run *run, double now, double passed) {
+    for (unsigned i = 0; i < STREAMS; i++) {
+        double expected = streams[i].jobs_per_s * passed;
+        while (g_rand_double(run->random) < expected) {
+            struct job *job = g_new0(struct job, 1);
+            g_snprintf(job->id, sizeof job->id, "req-1%u%05u", i, run->offered[i]++);
+            job->stream = i;
+            job->came_at = job->next_try = now;
+            g_ptr_array_add(run->asking, job);
+            fair_cluster_submit(run->fair, i, TASK_S, now);
+            expected -= 1;
+        }
+    }
+}
+
+static void play_users(struct run *run, double until, bool new_ones) {
+    double last = rr_now();
+    while (rr_now() < until) {
+        double now = rr_now();
+        if (new_ones) {
+            new_jobs(run, now, now - last);
+        }
+        fair_cluster_step(run->fair, now, now - last);
+        last = now;
+        for (guint i = run->asking->len; i > 0; i--) {
+            struct job *job = g_ptr_array_index(run->asking, i - 1);
+            if (job->next_try <= now && try_job(run, job)) {
+                g_ptr_array_remove_index_fast(run->asking, i - 1);
+            }
+        }
+        rr_sleep(LOOK_S);
+    }
+}
+
+/* ---- what came of it ---- */
+
+struct outcome {
+    unsigned accepted, begun;
+    double wait_s, longest_s;
+};
+
+static struct outcome outcome_of(const struct run *run, unsigned stream) {
+    struct outcome outcome = {0};
+    for (guint i = 0; i < run->accepted->len; i++) {
+        const struct job *job = g_ptr_array_index(run->accepted, i);
+        char piece[48];
+        g_snprintf(piece, sizeof piece, "%s/0", job->id);
+        double started = world_started(run->w, piece);
+        if (job->stream == stream) {
+            outcome.accepted++;
+            outcome.begun += started > 0;
+            outcome.wait_s += started > 0 ? started - job->came_at : 0;
+            outcome.longest_s = fmax(outcome.longest_s, started > 0 ? started - job->came_at : 0);
+        }
+    }
+    return outcome;
+}
+
+static void wait_all_begun(const struct run *run) {
+    double until = rr_now() + 60;
+    for (unsigned i = 0; i < STREAMS; i++) {
+        struct outcome outcome = outcome_of(run, i);
+        while (outcome.begun < outcome.accepted) {
+            assert_true(rr_now() < until);
+            rr_sleep(0.2);
+            outcome = outcome_of(run, i);
+        }
+    }
+}
+
+static void check(const struct run *run) {
+    for (unsigned i = 0; i < STREAMS; i++) {
+        struct outcome outcome = outcome_of(run, i);
+        struct fair_result fair = fair_cluster_result(run->fair, i);
+        double ratio = fair_wait_ratio(outcome.wait_s, outcome.begun, &fair, LEAST_WAIT_S);
+        printf("%-5s offered %u accepted %u given up %u; wait mean %.2f s longest %.2f s, fair "
+               "%.2f s, ratio %.2f; served %.0f of fair %.0f\n",
+               streams[i].team, run->offered[i], outcome.accepted, run->given_up[i],
+               outcome.begun ? outcome.wait_s / outcome.begun : 0, outcome.longest_s,
+               fair.begun ? fair.wait_s / fair.begun : 0, ratio, outcome.begun * TASK_S,
+               fair.served);
+        assert_true(!admission || ratio <= 2);
+        assert_true(!admission || outcome.begun * TASK_S >= 0.5 * fair.served);
+    }
+    printf("refusals %u, starts beyond a task's first %u; logs in %s\n", run->refused,
+           world_restarted(run->w), run->folder);
+    assert_true(!admission || run->refused > 0);
+    assert_int_equal(world_restarted(run->w), 0);
+}
+
+static void three_controllers_on_loopback(void **state) {
+    (void)state;
+    struct run run = {.w = world_start(), .random = g_rand_new_with_seed(1)};
+    const char *teams[STREAMS];
+    for (unsigned i = 0; i < STREAMS; i++) {
+        teams[i] = streams[i].team;
+    }
+    run.asking = g_ptr_array_new();
+    run.accepted = g_ptr_array_new_with_free_func(g_free);
+    run.fair = fair_cluster_create(SLOTS, teams, STREAMS);
+    world_task_seconds(run.w, TASK_S);
+    start_all(&run);
+    double began = rr_now();
+    play_users(&run, began + submissions_s / 2, true);
+    /* The second of them dies and comes back while the flood goes on. */
+    end_process(&run.controllers[1], SIGKILL);
+    play_users(&run, began + submissions_s / 2 + 2, true);
+    start_process(&run, 1);
+    play_users(&run, began + submissions_s, true);
+    play_users(&run, began + submissions_s + PATIENCE_S + 1, false);
+    if (admission) {
+        wait_all_begun(&run);
+    }
+    check(&run);
+    for (int i = 0; i < CONTROLLERS; i++) {
+        end_process(&run.controllers[i], SIGTERM);
+    }
+    for (guint i = 0; i < run.asking->len; i++) {
+        g_free(g_ptr_array_index(run.asking, i));
+    }
+    g_ptr_array_free(run.asking, TRUE);
+    g_ptr_array_free(run.accepted, TRUE);
+    fair_cluster_destroy(run.fair);
+    g_rand_free(run.random);
+    world_stop(run.w);
+}
+
+int main(int argc, char **argv) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(three_controllers_on_loopback)};
+    if (argc < 2) {
+        fprintf(stderr, "usage: %s PROGRAM [SECONDS]\n", argv[0]);
+        return 2;
+    }
+    program = argv[1];
+    submissions_s = argc > 2 ? g_ascii_strtod(argv[2], NULL) : submissions_s;
+    admission = argc <= 3 || strcmp(argv[3], "off") != 0;
+    rr_net_init();
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -24,6 +24,10 @@
     uint64_t mark;
 };
 
+struct lease {
+    double life_s, ends_at;
+};
+
 struct task {
     char piece[80];
     uint64_t attempt;
@@ -39,6 +43,7 @@
     GTree *kv; /* sorted keys -> struct value */
     GPtrArray *log;
     uint64_t epoch, holds;
+    GHashTable *leases; /* number -> struct lease */
     bool stopping, drop_next, frozen, down;
     unsigned rented;
     /* the worker */
@@ -46,7 +51,12 @@
     bool up;
     GArray *tasks;
     uint64_t fencing_token, sequence;
+    double task_s;       /* how long a task runs */
+    GHashTable *started; /* piece -> double*: when its first attempt started */
+    unsigned restarted;  /* starts of pieces that had run or ran */
     struct rr_endpoint reports_to;
+    GArray *controllers; /* struct rr_endpoint: all that were ever configured */
+    guint next;          /* of them the worker tries next */
 };
 
 static void value_free(gpointer p) {
@@ -190,8 +200,11 @@
     }
     guint n = 0;
     bool show = !w->frozen && !w->down;
-    for (guint i = 0; show && i < w->log->len; i++) {
-        n += ((struct change *)w->log->pdata[i])->mark > from;
+    for (guint i = w->log->len; show && i > 0; i--) {
+        if (((struct change *)w->log->pdata[i - 1])->mark <= from) {
+            break; /* the log is in the order of revisions */
+        }
+        n++;
     }
     rr_put_map(out, 2);
     rr_put_key_u64(out, "epoch", show ? w->epoch : from);
@@ -201,7 +214,7 @@
     for (guint i = w->log->len; show && i > 0; i--) {
         const struct change *c = w->log->pdata[i - 1];
         if (c->mark <= from) {
-            continue;
+            break;
         }
         rr_put_map(out, c->data ? 3 : 2);
         rr_put_key_text(out, c->data ? "put" : "delete", c->key);
@@ -239,6 +252,49 @@
     return 200;
 }
 
+static gboolean lease_over(gpointer key, gpointer value, gpointer user) {
+    (void)key;
+    return ((struct lease *)value)->ends_at < *(double *)user;
+}
+
+/* A controller that is gone loses its session. In an outage no lease ends, and after it all have
+ * their full time again. */
+static void expire_leases(world *w) {
+    GHashTableIter iterator;
+    gpointer key, value;
+    double now = rr_now();
+    g_hash_table_iter_init(&iterator, w->leases);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct lease *lease = value;
+        lease->ends_at = w->down ? now + lease->life_s : lease->ends_at;
+        if (lease->ends_at < now) {
+            end_lease(w, *(uint64_t *)key);
+        }
+    }
+    g_hash_table_foreach_remove(w->leases, lease_over, &now);
+}
+
+static int grant_lease(world *w, const msgpack_object *o, rr_out *out) {
+    double life_ms = 1000;
+    struct lease *lease = g_new0(struct lease, 1);
+    uint64_t *key = g_new(uint64_t, 1);
+    rr_get_num(o, "life_ms", &life_ms);
+    *key = ++w->holds;
+    *lease = (struct lease){life_ms / 1000, rr_now() + life_ms / 1000};
+    g_hash_table_insert(w->leases, key, lease);
+    rr_put_map(out, 1);
+    rr_put_key_u64(out, "tether", *key);
+    return 200;
+}
+
+static int renew_lease(world *w, uint64_t number) {
+    struct lease *lease = g_hash_table_lookup(w->leases, &number);
+    if (lease) {
+        lease->ends_at = rr_now() + lease->life_s;
+    }
+    return lease ? 200 : 404;
+}
+
 /* ---- cloud and worker ---- */
 
 static int catalog(rr_out *out) {
@@ -296,6 +352,16 @@
     return 200;
 }
 
+static void note_start(world *w, const char *piece) {
+    if (g_hash_table_contains(w->started, piece)) {
+        w->restarted++;
+        return;
+    }
+    double *at = g_new(double, 1);
+    *at = rr_now();
+    g_hash_table_insert(w->started, g_strdup(piece), at);
+}
+
 static void do_order(world *w, const msgpack_object *o) {
     char piece[80];
     uint64_t attempt = 0;
@@ -314,8 +380,9 @@
         struct task fresh = {.attempt = attempt, .standing = 1};
         g_strlcpy(fresh.piece, piece, sizeof fresh.piece);
         /* Jobs numbered from 5 are services. */
-        fresh.ends_at = piece[4] == '5' ? 0 : rr_now() + 0.1;
+        fresh.ends_at = piece[4] == '5' ? 0 : rr_now() + w->task_s;
         g_array_append_val(w->tasks, fresh);
+        note_start(w, piece);
     } else if (rr_text_is(rr_get(o, "verb"), "stop") && known && t->standing == 1) {
         t->standing = 3;
     } else if (rr_text_is(rr_get(o, "verb"), "reap") && known && t->standing > 1) {
@@ -367,6 +434,13 @@
     return true;
 }
 
+static void try_next_controller(world *w) {
+    pthread_mutex_lock(&w->lock);
+    w->next = (w->next + 1) % w->controllers->len;
+    w->reports_to = g_array_index(w->controllers, struct rr_endpoint, w->next);
+    pthread_mutex_unlock(&w->lock);
+}
+
 static void *worker_main(void *arg) {
     world *w = arg;
     rr_client *c = rr_client_create(NULL);
@@ -377,6 +451,7 @@
         pthread_mutex_lock(&w->lock);
         bool stop = w->stopping, up = w->up && w->reports_to.port;
         struct rr_endpoint to = w->reports_to;
+        expire_leases(w);
         if (up) {
             report(w, &o);
         }
@@ -399,6 +474,8 @@
                 pthread_mutex_unlock(&w->lock);
             }
             rr_doc_clear(&d);
+        } else if (up) {
+            try_next_controller(w);
         }
         rr_out_clear(&o);
         rr_sleep(0.05);
@@ -449,14 +526,14 @@
         return get_key(w, url + 7, out);
     }
     if (strcmp(url, "/holds") == 0) {
-        rr_put_map(out, 1);
-        rr_put_key_u64(out, "tether", ++w->holds);
-        return 200;
+        return grant_lease(w, o, out);
     }
+    uint64_t number = g_ascii_strtoull(url + 7, NULL, 10);
     if (strcmp(method, "DELETE") == 0) {
-        return end_lease(w, g_ascii_strtoull(url + 7, NULL, 10));
+        g_hash_table_remove(w->leases, &number);
+        return end_lease(w, number);
     }
-    return 200; /* renewals */
+    return renew_lease(w, number);
 }
 
 static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn, const char *url,
@@ -517,6 +594,10 @@
     w->kv = g_tree_new_full(by_key, NULL, g_free, value_free);
     w->log = g_ptr_array_new_with_free_func(change_free);
     w->tasks = g_array_new(FALSE, TRUE, sizeof(struct task));
+    w->task_s = 0.1;
+    w->started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    w->controllers = g_array_new(FALSE, TRUE, sizeof(struct rr_endpoint));
     w->daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION |
                                      MHD_USE_POLL,
                                  0, NULL, NULL, on_request, w, MHD_OPTION_SOCK_ADDR, &addr,
@@ -537,6 +618,9 @@
     g_tree_destroy(w->kv);
     g_ptr_array_free(w->log, TRUE);
     g_array_free(w->tasks, TRUE);
+    g_array_free(w->controllers, TRUE);
+    g_hash_table_destroy(w->started);
+    g_hash_table_destroy(w->leases);
     g_free(w);
 }
 
@@ -549,6 +633,7 @@
     }
 SWITCH(world_freeze_watches, bool, frozen)
 SWITCH(world_store_down, bool, down)
+SWITCH(world_task_seconds, double, task_s)
 
 void world_drop_next_answer(world *w) {
     pthread_mutex_lock(&w->lock);
@@ -566,6 +651,21 @@
     return n;
 }
 
+double world_started(world *w, const char *piece) {
+    pthread_mutex_lock(&w->lock);
+    const double *at = g_hash_table_lookup(w->started, piece);
+    double started = at ? *at : 0;
+    pthread_mutex_unlock(&w->lock);
+    return started;
+}
+
+unsigned world_restarted(world *w) {
+    pthread_mutex_lock(&w->lock);
+    unsigned n = w->restarted;
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
 unsigned world_rented(world *w) {
     pthread_mutex_lock(&w->lock);
     unsigned n = w->rented;
@@ -623,6 +723,8 @@
     c->tune.idle_return_s = 1000;
     pthread_mutex_lock(&w->lock);
     w->reports_to = c->bind;
+    w->next = w->controllers->len;
+    g_array_append_val(w->controllers, c->bind);
     pthread_mutex_unlock(&w->lock);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -18,7 +18,10 @@
 void world_freeze_watches(world *w, bool frozen);
 /* While down, every request to the store gets 503. */
 void world_store_down(world *w, bool down);
-unsigned world_tasks(world *w); /* on the worker, not exited */
+void world_task_seconds(world *w, double seconds); /* what a task takes; 0.1 at first */
+unsigned world_tasks(world *w);                    /* on the worker, not exited */
+double world_started(world *w, const char *piece); /* when it first was, 0: never */
+unsigned world_restarted(world *w);                /* starts beyond each piece's first */
 unsigned world_rented(world *w);
 
 uint16_t world_free_port(void);
