--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -383,6 +383,25 @@
     rr_demand_destroy(b);
 }
 
+static bool even_number(void *user, const char *job_id) {
+    (void)user;
+    return (job_id[strlen(job_id) - 1] - '0') % 2 == 0;
+}
+
+/* Who was refused here and accepted elsewhere asks no more. */
+static void accepted_elsewhere(void **state) {
+    (void)state;
+    rr_demand *demand = rr_demand_create(60);
+    const rr_demand *one[] = {demand};
+    unsigned fresh[] = {0};
+    rr_admission_key key = key_of("red", "x", 1);
+    refuse_jobs(demand, &key, 0, 40);
+    rr_demand_settle(demand, even_number, NULL);
+    assert_int_equal(rr_demand_waiting(demand), 20);
+    assert_true(count_of(one, fresh, 1, &key) == 20);
+    rr_demand_destroy(demand);
+}
+
 /* A team with very many classes leaves out its own, not the single key of another team. */
 static void a_view_that_is_too_large(void **state) {
     (void)state;
@@ -559,6 +578,83 @@
     g_rand_free(random);
 }
 
+/* ---- the writer ---- */
+
+struct writing {
+    struct rr_config config;
+    rr_admission_settings settings;
+    rr_admission_writer *writer;
+    rr_load load;
+    GArray *demand;
+    rr_admission_table newest, made;
+};
+
+/* 100 processors, overload, and a flood of the first team's. */
+static void writing_init(struct writing *w) {
+    memset(w, 0, sizeof *w);
+    fx_config(&w->config, "n0");
+    rr_admission_settings_init(&w->settings);
+    w->writer = rr_admission_writer_create(&w->config, &w->settings);
+    rr_load_init(&w->load, &w->settings);
+    rr_load_begin(&w->load);
+    rr_load_add_machine(&w->load, "m1", "a", (rr_amount){100, 0, 400});
+    rr_submission flood = job_of("red", "flood", "req-1", 1);
+    rr_load_add_job(&w->load, &flood, 0, 2000, 100, 0);
+    w->demand = g_array_new(FALSE, TRUE, sizeof(rr_demand_total));
+    rr_demand_total total = {key_of("red", "flood", 1), 5000, {10, 0, 10}};
+    g_array_append_val(w->demand, total);
+    rr_admission_table_init(&w->newest);
+    w->newest.sequence = 1;
+    w->newest.active = true;
+    w->newest.length_s = 10;
+}
+
+static const rr_admission_table *write_table(struct writing *w) {
+    assert_true(
+        rr_admission_writer_next(w->writer, &w->load, w->demand, &w->newest, 995, 995, &w->made));
+    assert_true(w->made.active);
+    assert_true(w->made.starts_at == 1000);
+    return &w->made;
+}
+
+static void writing_clear(struct writing *w) {
+    rr_admission_table_clear(&w->newest);
+    rr_admission_table_clear(&w->made);
+    g_array_free(w->demand, TRUE);
+    rr_load_clear(&w->load);
+    rr_admission_writer_destroy(w->writer);
+    rr_admission_settings_clear(&w->settings);
+}
+
+/* A job larger than all that its team may have waiting is admitted where nothing of its key waits;
+ * many such jobs, each in a class of its own, are not. */
+static void a_job_larger_than_its_share(void **state) {
+    (void)state;
+    struct writing w;
+    writing_init(&w);
+    rr_demand_total large = {key_of("blue", "large", 99), 1, {50000, 0, 50000}};
+    g_array_append_val(w.demand, large);
+    const rr_admission_table *table = write_table(&w);
+    assert_true(rr_admission_table_row(table, large.key.id)->share >= RR_ADMISSION_FULL - 1);
+    assert_true(rr_admission_table_row(table, key_of("red", "flood", 1).id)->share <
+                RR_ADMISSION_FULL / 50);
+    writing_clear(&w);
+    writing_init(&w);
+    for (int i = 0; i < 30; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "c%d", i);
+        large.key = key_of("blue", name, 99);
+        g_array_append_val(w.demand, large);
+    }
+    table = write_table(&w);
+    unsigned full = 0;
+    for (guint i = 0; i < table->rows->len; i++) {
+        full += g_array_index(table->rows, rr_admission_row, i).share >= RR_ADMISSION_FULL - 1;
+    }
+    assert_int_equal(full, 1);
+    writing_clear(&w);
+}
+
 /* ---- settings ---- */
 
 static void check_settings(const char *text, const char *error) {
@@ -678,6 +774,8 @@
         cmocka_unit_test(old_tables_and_unknown_keys),
         cmocka_unit_test(a_controller_that_cannot_know),
         cmocka_unit_test(demand_of_all),
+        cmocka_unit_test(accepted_elsewhere),
+        cmocka_unit_test(a_job_larger_than_its_share),
         cmocka_unit_test(a_view_that_is_too_large),
         cmocka_unit_test(bad_frames),
         cmocka_unit_test(shares),
--- a/tests/world.h
+++ b/tests/world.h
@@ -16,6 +16,12 @@
 void world_drop_next_answer(world *w);
 /* While frozen, open watches wait and show nothing new. */
 void world_freeze_watches(world *w, bool frozen);
+/* Another way in to everything; returns its port. Doors are counted from 1, the first being the one
+ * that world_config() names. */
+uint16_t world_add_door(world *w);
+/* The state service refuses who comes through this door, or shows it nothing new. */
+void world_refuse(world *w, unsigned door, bool refused);
+void world_freeze_door(world *w, unsigned door, bool frozen);
 /* While down, every request to the store gets 503. */
 void world_store_down(world *w, bool down);
 void world_task_seconds(world *w, double seconds); /* what a task takes; 0.1 at first */
