Cells: the ways weighed, and the transfer of a job as two state machines with a model test

Who may run a job while it moves between two cells is the part on which the rest stands, so that it comes first and by itself; nothing uses it yet, and docs/ROADMAP.md says what is missing.

Change: docs/cells.md; src/cells/ (home and guest, pure, plain values); a test that walks every order of events to a depth and random walks beyond.

Ruled out: one state service, a broker, copies at acceptance (docs/cells.md).

Found by the walks: an offer to another guest while the first one's grant still ran, two runs at a time. An offer now waits as a run at home does.

--- /dev/null
+++ b/src/cells/transfer.h
@@ -0,0 +1,137 @@
+/* The transfer of one job between two cells, as two state machines: the home, whose users submitted
+ * it, and a guest that may run it for the home. docs/cells.md has the argument.
+ *
+ * Pure: events and a time in, actions out; plain values, so that a test can copy and compare whole
+ * states. Times are each side's own steady clock, in seconds. Both sides keep a durable record in
+ * their cell's state service, written by compare-and-swap: a write is an action, its outcome an
+ * event, and nothing that rests on it is done before. */
+#ifndef RR_CELLS_TRANSFER_H
+#define RR_CELLS_TRANSFER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What a job came to. */
+enum rr_job_answer { RR_ANSWER_NONE, RR_ANSWER_DONE, RR_ANSWER_CANCELLED };
+
+/* ---- messages between cells ---- */
+enum rr_transfer_kind {
+    RR_TRANSFER_NOTHING,
+    RR_TRANSFER_OFFER,  /* home: take this job under this claim */
+    RR_TRANSFER_REFUSE, /* guest: no */
+    RR_TRANSFER_RENEW,  /* guest: I hold it; may I run it? */
+    RR_TRANSFER_GRANT,  /* home: you may, for a lease from when you asked */
+    RR_TRANSFER_VOID,   /* home: this claim is over */
+    RR_TRANSFER_ENDED,  /* guest: this is what the job came to; repeated until void or acknowledged
+                         */
+    RR_TRANSFER_ACK     /* home: the answer is recorded */
+};
+
+typedef struct {
+    enum rr_transfer_kind kind;
+    uint32_t claim;
+    enum rr_job_answer answer; /* with ENDED */
+    double sent_at; /* with RENEW, and back with GRANT: the guest's clock when it asked, */
+    uint64_t asker; /* and which of its processes that was: clocks do not outlive one */
+} rr_transfer_message;
+
+/* Times that both cells agree on by their settings. */
+typedef struct {
+    double lease_s; /* of a grant, from the guest's asking */
+    double rest_s;  /* from then until nothing of the job is left at the guest, whatever happens:
+                       its workers' lease and the time to stop */
+    double drift;   /* by which part steady clocks may differ */
+} rr_transfer_times;
+
+/* ---- home ---- */
+enum rr_home_state {
+    RR_HOME_LOCAL,   /* it may run here, once the last grant has surely run out */
+    RR_HOME_OFFERED, /* no task is placed here; a guest may hold it, and run it while granted */
+    RR_HOME_FINAL
+};
+
+/* Durable. claim: the last number used; never used again. */
+typedef struct {
+    enum rr_home_state state;
+    uint32_t claim;
+    uint32_t guest;
+    enum rr_job_answer answer;
+} rr_home_record;
+
+typedef struct {
+    rr_home_record record;  /* as last written or read */
+    rr_home_record writing; /* under way if `writes` */
+    bool writes;
+    bool running;        /* tasks of it are placed here, not proven over */
+    double free_at;      /* until then a guest may still run it under an earlier grant */
+    double last_sent_at; /* of an offer */
+} rr_home;
+
+enum rr_home_action { RR_HOME_NOTHING, RR_HOME_WRITE };
+
+/* What an event asks for: a write of home->writing, a message to record.guest, or both. */
+typedef struct {
+    enum rr_home_action action;
+    rr_transfer_message message;
+} rr_home_step;
+
+/* A controller takes the job over, also after a restart: what an earlier one granted is not known.
+ */
+void rr_home_load(rr_home *home, const rr_home_record *record, bool running, double now,
+                  const rr_transfer_times *times);
+/* Whether tasks of it may be placed here. */
+bool rr_home_may_run(const rr_home *home, double now);
+rr_home_step rr_home_offer(rr_home *home, uint32_t guest, double now);
+/* Takes back what is offered, as the guest is not heard or the user has cancelled. */
+rr_home_step rr_home_withdraw(rr_home *home);
+rr_home_step rr_home_end(rr_home *home, enum rr_job_answer answer);
+rr_home_step rr_home_written(rr_home *home, bool done, double now);
+rr_home_step rr_home_receive(rr_home *home, uint32_t from, const rr_transfer_message *message,
+                             double now, const rr_transfer_times *times);
+/* Repeats an offer that is not answered. */
+rr_home_step rr_home_repeat(const rr_home *home);
+
+/* ---- guest ---- */
+enum rr_guest_state {
+    RR_GUEST_NONE,
+    RR_GUEST_HELD, /* it may run while granted */
+    RR_GUEST_ENDED /* the answer is to be told */
+};
+
+/* Durable. */
+typedef struct {
+    enum rr_guest_state state;
+    uint32_t claim;
+    enum rr_job_answer answer;
+} rr_guest_record;
+
+typedef struct {
+    rr_guest_record record, writing;
+    bool writes;
+    bool running;         /* tasks of it are placed here, not proven over */
+    bool over;            /* the home has said so: stop, then forget */
+    double granted_until; /* 0: no grant is known to this process */
+    uint64_t process;     /* unique: the controller's lease in its own cell */
+} rr_guest;
+
+enum rr_guest_action { RR_GUEST_NOTHING, RR_GUEST_WRITE };
+
+typedef struct {
+    enum rr_guest_action action;
+    rr_transfer_message message; /* to the home */
+} rr_guest_step;
+
+/* A controller takes the claim over, also after a restart: it is taken for expired until granted.
+ */
+void rr_guest_load(rr_guest *guest, const rr_guest_record *record, bool running, uint64_t process);
+/* Whether tasks may be placed, and go on; if not, they are stopped. */
+bool rr_guest_may_run(const rr_guest *guest, double now);
+rr_guest_step rr_guest_receive(rr_guest *guest, const rr_transfer_message *message, bool room,
+                               const rr_transfer_times *times);
+rr_guest_step rr_guest_written(rr_guest *guest, bool done);
+/* All tasks of it are done. */
+rr_guest_step rr_guest_end(rr_guest *guest, enum rr_job_answer answer);
+/* Asks for the lease anew, tells an answer again, or forgets what is over and stopped. */
+rr_guest_step rr_guest_repeat(rr_guest *guest, double now);
+
+#endif
