One way to find a team, to scale work, and to submit in the tests

Need: reading the whole change once more: a team's index was searched for in four places, and three tests packed a submission by themselves.

Change: rr_config_team(), rr_work_scale(), world_submit(). Nothing else changed.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -116,25 +116,16 @@
 
 /* ---- submissions ---- */
 
-static int team_of(const struct rr_config *config, const char *name) {
-    for (size_t i = 0; i < config->nteams; i++) {
-        if (strcmp(config->teams[i].name, name) == 0) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
 static rr_work job_work(const rr_admission *admission, const rr_submission *submission) {
     rr_work task = rr_work_of_task(submission, admission->settings->service_estimate_s);
-    return rr_work_add((rr_work){0, 0, 0}, task, submission->pieces);
+    return rr_work_scale(task, submission->pieces);
 }
 
 /* Without a table to rely on: of what its team is guaranteed in an interval, this controller's part
  * among those of the last known term, so that all of them together stay within the guarantee. */
 static bool within_guarantee(rr_admission *admission, const rr_submission *submission,
                              unsigned controllers) {
-    int team = team_of(admission->config, submission->team);
+    int team = rr_config_team(admission->config, submission->team);
     if (team < 0) {
         return false;
     }
--- a/src/admission/demand.c
+++ b/src/admission/demand.c
@@ -67,7 +67,7 @@
 static void count_work(struct key_demand *key, rr_work work) {
     if (key->counted >= COUNTED_MAX) {
         key->counted /= 2;
-        key->work = rr_work_add((rr_work){0, 0, 0}, key->work, 0.5);
+        key->work = rr_work_scale(key->work, 0.5);
     }
     key->counted++;
     key->work = rr_work_add(key->work, work, 1);
@@ -218,7 +218,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct key_demand *key = value;
         rr_demand_entry entry = {.key = key->key, .admitted = key->admitted_before};
-        entry.mean = rr_work_add((rr_work){0, 0, 0}, key->work, 1 / fmax(key->counted, 1));
+        entry.mean = rr_work_scale(key->work, 1 / fmax(key->counted, 1));
         entry.sample = g_array_new(FALSE, FALSE, sizeof(uint64_t));
         g_hash_table_insert(samples, &key->key.id, entry.sample);
         g_array_append_val(out->entries, entry);
@@ -306,7 +306,7 @@
         sum->total.count += part * (now - before + (double)entry->admitted);
         before = now;
     }
-    sum->total.mean = rr_work_add((rr_work){0, 0, 0}, sum->total.mean, 1 / fmax(sum->weight, 1e-9));
+    sum->total.mean = rr_work_scale(sum->total.mean, 1 / fmax(sum->weight, 1e-9));
     g_array_free(sum->entries, TRUE);
     return sum->total;
 }
--- a/src/admission/demand.h
+++ b/src/admission/demand.h
@@ -21,6 +21,10 @@
                      a.mem_s + factor * b.mem_s};
 }
 
+static inline rr_work rr_work_scale(rr_work work, double factor) {
+    return (rr_work){factor * work.cpu_s, factor * work.gpu_s, factor * work.mem_s};
+}
+
 /* Of one task, by its owner's estimate; services count as `service_s` long. */
 rr_work rr_work_of_task(const rr_submission *submission, double service_s);
 
--- a/src/admission/load.c
+++ b/src/admission/load.c
@@ -104,6 +104,6 @@
     of_team->done =
         rr_work_add(of_team->done, work, newly_done(load, submission->ref, ends ? done : 0));
     if (waiting > 0) {
-        add_waiting(load, submission, rr_work_add((rr_work){0, 0, 0}, work, waiting));
+        add_waiting(load, submission, rr_work_scale(work, waiting));
     }
 }
--- a/src/admission/settings.c
+++ b/src/admission/settings.c
@@ -102,18 +102,9 @@
     return 0;
 }
 
-static int team_index(const char *name) {
-    for (size_t i = 0; i < platform->nteams; i++) {
-        if (strcmp(platform->teams[i].name, name) == 0) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
 static int check_team(cfg_t *cfg, cfg_opt_t *option) {
     const char *name = cfg_title(cfg_opt_getnsec(option, cfg_opt_size(option) - 1));
-    if (team_index(name) < 0) {
+    if (rr_config_team(platform, name) < 0) {
         cfg_error(cfg, "team \"%s\": the platform's settings have no such team", name);
         return -1;
     }
@@ -170,7 +161,8 @@
     }
     for (unsigned i = 0; i < cfg_size(cfg, "team"); i++) {
         cfg_t *section = cfg_getnsec(cfg, "team", i);
-        rr_admission_team_settings *team = &out->teams[team_index(cfg_title(section))];
+        rr_admission_team_settings *team =
+            &out->teams[rr_config_team(platform, cfg_title(section))];
         read_team(section, team);
         least += team->least_share;
     }
--- a/src/admission/writer.c
+++ b/src/admission/writer.c
@@ -75,15 +75,6 @@
     return dominant_amount((rr_amount){work.cpu_s, work.gpu_s, work.mem_s}, capacity);
 }
 
-static int team_of(const rr_admission_writer *writer, const char *name) {
-    for (size_t i = 0; i < writer->config->nteams; i++) {
-        if (strcmp(writer->config->teams[i].name, name) == 0) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
 /* ---- estimates against what was used ---- */
 
 static void correct_estimates(rr_admission_writer *writer, const rr_load *load,
@@ -193,7 +184,7 @@
     g_hash_table_iter_init(&iterator, load->keys);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const rr_load_key *waiting = value;
-        int team = team_of(writer, waiting->key.team);
+        int team = rr_config_team(writer->config, waiting->key.team);
         if (team >= 0) {
             struct entry *entry = entry_of(entries, &waiting->key, team);
             entry->work = rr_work_add(entry->work, waiting->waiting, 1);
@@ -203,7 +194,7 @@
     }
     for (guint i = 0; i < demand->len; i++) {
         const rr_demand_total *total = &g_array_index(demand, rr_demand_total, i);
-        int team = team_of(writer, total->key.team);
+        int team = rr_config_team(writer->config, total->key.team);
         if (team >= 0 && total->count > 0) {
             struct entry *entry = entry_of(entries, &total->key, team);
             entry->work = rr_work_add(entry->work, total->mean, total->count);
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #define RR_MAX_NODES 32
 #define RR_MAX_TEAMS 256
@@ -83,6 +84,16 @@
     struct rr_tuning tune;
 };
 
+/* The index of a team in the settings; -1: there is none of this name. */
+static inline int rr_config_team(const struct rr_config *c, const char *name) {
+    for (size_t i = 0; i < c->nteams; i++) {
+        if (strcmp(c->teams[i].name, name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
 /* What is written obeys the smaller of the state service's limits from the first write on: what is
  * larger could not be written again once they are lowered. How a job's tasks are parted over the
  * records of its ledger follows the present limit, in every version alike. */
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -3,15 +3,6 @@
 
 #include <string.h>
 
-static const struct rr_team_config *team_config(const rr_core *c, const char *name) {
-    for (size_t i = 0; i < c->cfg->nteams; i++) {
-        if (strcmp(c->cfg->teams[i].name, name) == 0) {
-            return &c->cfg->teams[i];
-        }
-    }
-    return NULL;
-}
-
 static bool zone_offered(const rr_build *b, const char *zone) {
     for (guint i = 0; i < b->zones->len; i++) {
         if (!zone[0] || strcmp(g_ptr_array_index(b->zones, i), zone) == 0) {
@@ -43,7 +34,8 @@
 }
 
 enum rr_admit rr_core_admit(const rr_core *c, const rr_submission *s, const char **why) {
-    const struct rr_team_config *t = team_config(c, s->team);
+    int team = rr_config_team(c->cfg, s->team);
+    const struct rr_team_config *t = team >= 0 ? &c->cfg->teams[team] : NULL;
     const rr_job *known = g_hash_table_lookup(c->jobs, s->ref);
     if ((known && known->mark) || rr_job_final(c, s->ref, NULL, NULL)) {
         return RR_ADMIT_KNOWN;
--- a/tests/test_admission_processes.c
+++ b/tests/test_admission_processes.c
@@ -159,10 +159,8 @@
 
 /* ---- users ---- */
 
-/* The status, and the time to come back that a refusal names. */
 static int submit(const struct process *to, const struct job *job) {
     rr_submission submission;
-    rr_out out;
     fx_submission(&submission, &(struct fx_job){.ref = job->id,
                                                 .team = streams[job->stream].team,
                                                 .job_class = "batch",
@@ -170,12 +168,7 @@
                                                 .cpu = 1,
                                                 .mem = 1});
     submission.runtime_estimate_s = TASK_S;
-    rr_out_init(&out);
-    rr_put_map(&out, rr_submission_field_count(&submission));
-    rr_submission_encode_fields(&out, &submission);
-    int status = world_call(&to->config, "POST", "/submissions", out.buf.data, out.buf.size, NULL);
-    rr_out_clear(&out);
-    return status;
+    return world_submit(&to->config, &submission);
 }
 
 /* True: this user asks no more. Retries come a second after a refusal; the stand-in's caller does
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -32,14 +32,8 @@
 
 static int submit(const struct rr_config *cfg, const char *ref) {
     rr_submission s;
-    rr_out o;
     fx_submission(&s, &(struct fx_job){.ref = ref, .cpu = 1, .mem = 1});
-    rr_out_init(&o);
-    rr_put_map(&o, rr_submission_field_count(&s));
-    rr_submission_encode_fields(&o, &s);
-    int status = world_call(cfg, "POST", "/submissions", o.buf.data, o.buf.size, NULL);
-    rr_out_clear(&o);
-    return status;
+    return world_submit(cfg, &s);
 }
 
 static bool is_done(const struct rr_config *cfg, const char *ref) {
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -55,15 +55,9 @@
 
 static int submit(const struct rr_app *a, const char *ref, uint32_t pieces, bool service) {
     rr_submission sub;
-    rr_out o;
     fx_submission(&sub,
                   &(struct fx_job){.ref = ref, .pieces = pieces, .cpu = 1, .service = service});
-    rr_out_init(&o);
-    rr_put_map(&o, rr_submission_field_count(&sub));
-    rr_submission_encode_fields(&o, &sub);
-    int status = world_call(&a->cfg, "POST", "/submissions", o.buf.data, o.buf.size, NULL);
-    rr_out_clear(&o);
-    return status;
+    return world_submit(&a->cfg, &sub);
 }
 
 /* The standing that a poll tells, or "" with any other answer than 200. */
--- a/tests/world.c
+++ b/tests/world.c
@@ -791,3 +791,13 @@
     rr_client_destroy(client);
     return rc == 0 ? (int)reply.status : -1;
 }
+
+int world_submit(const struct rr_config *c, const rr_submission *submission) {
+    rr_out out;
+    rr_out_init(&out);
+    rr_put_map(&out, rr_submission_field_count(submission));
+    rr_submission_encode_fields(&out, submission);
+    int status = world_call(c, "POST", "/submissions", out.buf.data, out.buf.size, NULL);
+    rr_out_clear(&out);
+    return status;
+}
