--- a/src/admission/load.c
+++ b/src/admission/load.c
@@ -1,5 +1,6 @@
 #include "admission/load.h"
 
+#include <math.h>
 #include <string.h>
 
 static GHashTable *new_counts(void) {
@@ -107,3 +108,14 @@
         add_waiting(load, submission, rr_work_scale(work, waiting));
     }
 }
+
+double rr_dominant_amount(rr_amount amount, rr_amount capacity) {
+    double share = 0;
+    share = capacity.cpu > 0 ? fmax(share, amount.cpu / capacity.cpu) : share;
+    share = capacity.gpu > 0 ? fmax(share, amount.gpu / capacity.gpu) : share;
+    return capacity.mem > 0 ? fmax(share, amount.mem / capacity.mem) : share;
+}
+
+double rr_dominant_work(rr_work work, rr_amount capacity) {
+    return rr_dominant_amount((rr_amount){work.cpu_s, work.gpu_s, work.mem_s}, capacity);
+}
--- a/src/admission/load.h
+++ b/src/admission/load.h
@@ -47,5 +47,8 @@
 void rr_load_add_job(rr_load *load, const rr_submission *submission, int team, uint32_t waiting,
                      uint32_t placed, uint32_t done);
 rr_amount rr_load_capacity(const rr_load *load);
+/* The part of the capacity that is taken of the scarcest resource. */
+double rr_dominant_amount(rr_amount amount, rr_amount capacity);
+double rr_dominant_work(rr_work work, rr_amount capacity); /* times time */
 
 #endif
--- a/src/admission/writer.c
+++ b/src/admission/writer.c
@@ -1,13 +1,11 @@
 #include "admission/writer.h"
+#include "admission/entries.h"
 #include "admission/shares.h"
 
 #include <math.h>
-#include <string.h>
 
-#define LEAD 0.4      /* of an interval, before its end: the next table is made from then on */
-#define ROWS_MAX 512u /* keys told apart in one table, */
-#define GROUP_ROWS_LEAST 4u /* and of each team's band at least */
-#define CALM_TABLES 3u      /* without overload before admission ends */
+#define LEAD 0.4       /* of an interval, before its end: the next table is made from then on */
+#define CALM_TABLES 3u /* without overload before admission ends */
 #define CORRECTION_MAX 8.0
 #define CORRECTION_DECAY 0.9   /* a table; so that the last ten or so count */
 #define CORRECTION_PRIOR_S 1.0 /* time of the whole fleet that the earlier correction weighs */
@@ -24,17 +22,6 @@
     rr_admission_writer_stats stats;
 };
 
-/* One key under consideration. */
-struct entry {
-    const rr_admission_key *key; /* NULL: what is left of a team's band */
-    uint64_t id;
-    guint team, band;
-    rr_work work;   /* waiting and asked for, for the parts of it by resource */
-    double backlog; /* accepted and waiting, in dominant share times time */
-    double count;   /* jobs that ask */
-    double asked;   /* and what they ask for */
-};
-
 rr_admission_writer *rr_admission_writer_create(const struct rr_config *config,
                                                 const rr_admission_settings *settings) {
     rr_admission_writer *writer = g_new0(rr_admission_writer, 1);
@@ -64,17 +51,6 @@
     return !written && edge - wall <= LEAD * length;
 }
 
-static double dominant_amount(rr_amount amount, rr_amount capacity) {
-    double share = 0;
-    share = capacity.cpu > 0 ? fmax(share, amount.cpu / capacity.cpu) : share;
-    share = capacity.gpu > 0 ? fmax(share, amount.gpu / capacity.gpu) : share;
-    return capacity.mem > 0 ? fmax(share, amount.mem / capacity.mem) : share;
-}
-
-static double dominant_work(rr_work work, rr_amount capacity) {
-    return dominant_amount((rr_amount){work.cpu_s, work.gpu_s, work.mem_s}, capacity);
-}
-
 /* ---- estimates against what was used ---- */
 
 static void correct_estimates(rr_admission_writer *writer, const rr_load *load,
@@ -90,9 +66,9 @@
             earlier = writer->correction[i];
         }
         writer->used[i] = writer->used[i] * CORRECTION_DECAY +
-                          dominant_amount(team->batch, writer->capacity) * passed;
+                          rr_dominant_amount(team->batch, writer->capacity) * passed;
         writer->done[i] =
-            writer->done[i] * CORRECTION_DECAY + dominant_work(team->done, writer->capacity);
+            writer->done[i] * CORRECTION_DECAY + rr_dominant_work(team->done, writer->capacity);
         /* Until tasks have ended there is nothing to compare with. */
         double correction = earlier;
         if (writer->done[i] > EPSILON) {
@@ -103,157 +79,69 @@
     }
 }
 
-/* ---- entries ---- */
-
-static struct entry *entry_of(GHashTable *entries, const rr_admission_key *key, int team) {
-    struct entry *entry = g_hash_table_lookup(entries, &key->id);
-    if (!entry) {
-        entry = g_new0(struct entry, 1);
-        entry->key = key;
-        entry->id = key->id;
-        entry->team = (guint)team;
-        entry->band = key->band;
-        g_hash_table_insert(entries, &entry->id, entry);
-    }
-    return entry;
-}
+/* ---- shares ---- */
 
-static gint by_group_and_size(gconstpointer a, gconstpointer b) {
-    const struct entry *x = *(const struct entry *const *)a, *y = *(const struct entry *const *)b;
-    if (x->team != y->team) {
-        return x->team < y->team ? -1 : 1;
-    }
-    if (x->band != y->band) {
-        return x->band < y->band ? -1 : 1;
-    }
-    double size_x = x->backlog + x->asked, size_y = y->backlog + y->asked;
-    if (size_x != size_y) {
-        return size_x > size_y ? -1 : 1;
+static void set_use(const rr_admission_writer *writer, const rr_admission_entry *entry,
+                    rr_share_row *row) {
+    double all = rr_dominant_work(entry->work, writer->capacity);
+    const double work[] = {entry->work.cpu_s, entry->work.gpu_s, entry->work.mem_s};
+    const double capacity[] = {writer->capacity.cpu, writer->capacity.gpu, writer->capacity.mem};
+    for (guint r = 0; r < RR_SHARE_RESOURCES; r++) {
+        row->use[r] = all > EPSILON && capacity[r] > 0 ? work[r] / capacity[r] / all : 0;
     }
-    return x->id < y->id ? -1 : x->id > y->id;
 }
 
-static void merge_entry(struct entry *into, const struct entry *entry) {
-    into->work = rr_work_add(into->work, entry->work, 1);
-    into->backlog += entry->backlog;
-    into->count += entry->count;
-    into->asked += entry->asked;
-}
+/* How many keys of a team's class there are in each band. */
+struct class_keys {
+    guint in_band[RR_ADMISSION_BANDS];
+};
 
-static bool same_group(const struct entry *a, const struct entry *b) {
-    return a && a->team == b->team && a->band == b->band;
+static char *class_name(const rr_admission_entry *entry) {
+    return g_strdup_printf("%u/%s", entry->team, entry->key->job_class);
 }
 
-/* The largest entries of each team's band, and one for the rest of it, so that the keys of one
- * team, whose classes are whatever its users write, take no other team's place. */
-static GArray *limit_entries(const rr_admission_writer *writer, GPtrArray *all) {
-    GArray *kept = g_array_new(FALSE, TRUE, sizeof(struct entry));
-    guint groups = 0, of_group = 0;
-    const struct entry *last = NULL;
-    g_ptr_array_sort(all, by_group_and_size);
-    for (guint i = 0; i < all->len; i++) {
-        const struct entry *entry = g_ptr_array_index(all, i);
-        groups += !same_group(last, entry);
-        last = entry;
-    }
-    guint most = MAX(ROWS_MAX / MAX(groups, 1), GROUP_ROWS_LEAST);
-    last = NULL;
-    for (guint i = 0; i < all->len; i++) {
-        const struct entry *entry = g_ptr_array_index(all, i);
-        of_group = same_group(last, entry) ? of_group + 1 : 0;
-        last = entry;
-        if (of_group < most) {
-            g_array_append_val(kept, *entry);
+static GHashTable *count_keys(const GArray *entries) {
+    GHashTable *classes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    for (guint i = 0; i < entries->len; i++) {
+        const rr_admission_entry *entry = &g_array_index(entries, rr_admission_entry, i);
+        if (!entry->key) {
             continue;
         }
-        if (of_group == most) {
-            struct entry rest = {.team = entry->team, .band = entry->band};
-            rest.id = rr_admission_rest_id(writer->config->teams[entry->team].name, entry->band);
-            g_array_append_val(kept, rest);
+        char *name = class_name(entry);
+        struct class_keys *keys = g_hash_table_lookup(classes, name);
+        if (!keys) {
+            keys = g_new0(struct class_keys, 1);
+            g_hash_table_insert(classes, g_strdup(name), keys);
         }
-        merge_entry(&g_array_index(kept, struct entry, kept->len - 1), entry);
-    }
-    return kept;
-}
-
-static GArray *gather_entries(const rr_admission_writer *writer, const rr_load *load,
-                              const GArray *demand) {
-    GHashTable *entries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, load->keys);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const rr_load_key *waiting = value;
-        int team = rr_config_team(writer->config, waiting->key.team);
-        if (team >= 0) {
-            struct entry *entry = entry_of(entries, &waiting->key, team);
-            entry->work = rr_work_add(entry->work, waiting->waiting, 1);
-            entry->backlog =
-                dominant_work(waiting->waiting, writer->capacity) * writer->correction[team];
-        }
-    }
-    for (guint i = 0; i < demand->len; i++) {
-        const rr_demand_total *total = &g_array_index(demand, rr_demand_total, i);
-        int team = rr_config_team(writer->config, total->key.team);
-        if (team >= 0 && total->count > 0) {
-            struct entry *entry = entry_of(entries, &total->key, team);
-            entry->work = rr_work_add(entry->work, total->mean, total->count);
-            entry->count = total->count;
-            entry->asked = dominant_work(total->mean, writer->capacity) * total->count *
-                           writer->correction[team];
-        }
-    }
-    GPtrArray *all = g_ptr_array_new();
-    g_hash_table_iter_init(&iterator, entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        g_ptr_array_add(all, value);
-    }
-    GArray *kept = limit_entries(writer, all);
-    g_ptr_array_free(all, TRUE);
-    g_hash_table_destroy(entries);
-    return kept;
-}
-
-/* ---- shares ---- */
-
-static void set_use(const rr_admission_writer *writer, const struct entry *entry,
-                    rr_share_row *row) {
-    double all = dominant_work(entry->work, writer->capacity);
-    const double work[] = {entry->work.cpu_s, entry->work.gpu_s, entry->work.mem_s};
-    const double capacity[] = {writer->capacity.cpu, writer->capacity.gpu, writer->capacity.mem};
-    for (guint r = 0; r < RR_SHARE_RESOURCES; r++) {
-        row->use[r] = all > EPSILON && capacity[r] > 0 ? work[r] / capacity[r] / all : 0;
+        keys->in_band[entry->band]++;
+        g_free(name);
     }
+    return classes;
 }
 
 /* A class's weight counts once, however many bands and ties its jobs are parted into: each band has
  * an equal part of it, so that large jobs have a share that small ones can't take. */
-static double row_weight(const rr_admission_writer *writer, const GArray *entries, guint at) {
-    const struct entry *entry = &g_array_index(entries, struct entry, at);
+static double row_weight(const rr_admission_writer *writer, GHashTable *classes,
+                         const rr_admission_entry *entry) {
     if (!entry->key) {
         return 1;
     }
-    guint same = 0, bands = 0;
-    bool seen[RR_ADMISSION_BANDS] = {false};
-    for (guint i = 0; i < entries->len; i++) {
-        const struct entry *other = &g_array_index(entries, struct entry, i);
-        if (other->team != entry->team || !other->key ||
-            strcmp(other->key->job_class, entry->key->job_class) != 0) {
-            continue;
-        }
-        same += other->key->band == entry->key->band;
-        bands += !seen[other->key->band];
-        seen[other->key->band] = true;
+    char *name = class_name(entry);
+    const struct class_keys *keys = g_hash_table_lookup(classes, name);
+    guint bands = 0;
+    g_free(name);
+    for (guint band = 0; band < RR_ADMISSION_BANDS; band++) {
+        bands += keys->in_band[band] > 0;
     }
     double weight =
         rr_admission_class_weight(&writer->settings->teams[entry->team], entry->key->job_class);
-    return weight / MAX(bands, 1) / MAX(same, 1);
+    return weight / bands / keys->in_band[entry->band];
 }
 
 static bool *allowed_pools(const rr_load *load, const GArray *entries) {
     bool *allowed = g_new0(bool, (size_t)entries->len * load->pools->len + 1);
     for (guint i = 0; i < entries->len; i++) {
-        const struct entry *entry = &g_array_index(entries, struct entry, i);
+        const rr_admission_entry *entry = &g_array_index(entries, rr_admission_entry, i);
         for (guint p = 0; p < load->pools->len; p++) {
             const rr_load_pool *pool = &g_array_index(load->pools, rr_load_pool, p);
             allowed[i * load->pools->len + p] =
@@ -276,13 +164,14 @@
                   double *allocations) {
     double horizon = horizon_s(writer);
     bool *allowed = allowed_pools(load, entries);
+    GHashTable *classes = count_keys(entries);
     rr_share_row *rows = g_new0(rr_share_row, entries->len + 1);
     rr_share_pool *pools = g_new0(rr_share_pool, load->pools->len + 1);
     rr_share_team teams[RR_MAX_TEAMS];
     for (guint i = 0; i < entries->len; i++) {
-        const struct entry *entry = &g_array_index(entries, struct entry, i);
+        const rr_admission_entry *entry = &g_array_index(entries, rr_admission_entry, i);
         rows[i] = (rr_share_row){.team = entry->team,
-                                 .weight = row_weight(writer, entries, i),
+                                 .weight = row_weight(writer, classes, entry),
                                  .demand = entry->backlog + entry->asked,
                                  .pools = &allowed[(size_t)i * load->pools->len]};
         set_use(writer, entry, &rows[i]);
@@ -306,6 +195,7 @@
         allocations[i] = rows[i].allocation;
     }
     g_free(allowed);
+    g_hash_table_destroy(classes);
     g_free(rows);
     g_free(pools);
 }
@@ -316,7 +206,7 @@
 
 /* Which part of those who ask is admitted, given what may wait of the key. A key that gets all it
  * asks for is not limited. */
-static double admitted_share(const struct entry *entry, double allocation) {
+static double admitted_share(const rr_admission_entry *entry, double allocation) {
     if (allocation >= SATED * (entry->backlog + entry->asked)) {
         return 1;
     }
@@ -330,13 +220,13 @@
                              double *shares) {
     double left[RR_MAX_TEAMS] = {0};
     for (guint i = 0; i < entries->len; i++) {
-        const struct entry *entry = &g_array_index(entries, struct entry, i);
+        const rr_admission_entry *entry = &g_array_index(entries, rr_admission_entry, i);
         left[entry->team] += allocations[i] - entry->backlog;
         left[entry->team] -= entry->backlog < EPSILON ? 0 : shares[i] * entry->asked;
     }
     for (guint k = 0; k < entries->len; k++) {
         guint i = (guint)((k + sequence) % entries->len);
-        const struct entry *entry = &g_array_index(entries, struct entry, i);
+        const rr_admission_entry *entry = &g_array_index(entries, rr_admission_entry, i);
         double job = entry->asked / fmax(entry->count, 1);
         if (entry->backlog >= EPSILON || entry->count < EPSILON) {
             continue;
@@ -369,14 +259,14 @@
  * round it. Where the band has no row there is nothing to go round. */
 static void add_rest(const rr_admission_writer *writer, const rr_admission_table *newest,
                      const GArray *entries, const double *shares, rr_admission_table *out) {
-    const struct entry *last = NULL;
+    const rr_admission_entry *last = NULL;
     double least = 1;
     for (guint i = 0; i < entries->len; i++) {
-        const struct entry *entry = &g_array_index(entries, struct entry, i);
-        const struct entry *next = i + 1 < entries->len ? entry + 1 : NULL;
-        least = same_group(last, entry) ? fmin(least, shares[i]) : shares[i];
+        const rr_admission_entry *entry = &g_array_index(entries, rr_admission_entry, i);
+        const rr_admission_entry *next = i + 1 < entries->len ? entry + 1 : NULL;
+        least = rr_admission_same_group(last, entry) ? fmin(least, shares[i]) : shares[i];
         last = entry;
-        if (!(next && same_group(next, entry)) && entry->key && least < 1) {
+        if (!(next && rr_admission_same_group(next, entry)) && entry->key && least < 1) {
             const char *team = writer->config->teams[entry->team].name;
             add_row(out, newest, rr_admission_rest_id(team, entry->band), least);
         }
@@ -391,7 +281,7 @@
         const rr_load_team *team = &load->teams[i];
         rr_amount all = {team->used.cpu + team->waiting.cpu, team->used.gpu + team->waiting.gpu,
                          team->used.mem + team->waiting.mem};
-        demands[i] = dominant_amount(all, writer->capacity);
+        demands[i] = rr_dominant_amount(all, writer->capacity);
         weights[i] = writer->settings->teams[i].weight;
         least[i] = writer->settings->teams[i].least_share;
     }
@@ -408,10 +298,10 @@
                            const double *rooms, double *allocations) {
     double all[RR_MAX_TEAMS] = {0};
     for (guint i = 0; i < entries->len; i++) {
-        all[g_array_index(entries, struct entry, i).team] += allocations[i];
+        all[g_array_index(entries, rr_admission_entry, i).team] += allocations[i];
     }
     for (guint i = 0; i < entries->len; i++) {
-        guint team = g_array_index(entries, struct entry, i).team;
+        guint team = g_array_index(entries, rr_admission_entry, i).team;
         double most = rooms[team] * horizon_s(writer);
         allocations[i] *= all[team] > most ? most / all[team] : 1;
     }
@@ -435,11 +325,11 @@
     solve(writer, load, entries, allocations);
     bound_by_rooms(writer, entries, rooms, allocations);
     for (guint i = 0; i < entries->len; i++) {
-        shares[i] = admitted_share(&g_array_index(entries, struct entry, i), allocations[i]);
+        shares[i] = admitted_share(&g_array_index(entries, rr_admission_entry, i), allocations[i]);
     }
     admit_first_jobs(entries, allocations, out->sequence, shares);
     for (guint i = 0; i < entries->len; i++) {
-        add_row(out, newest, g_array_index(entries, struct entry, i).id, shares[i]);
+        add_row(out, newest, g_array_index(entries, rr_admission_entry, i).id, shares[i]);
     }
     add_rest(writer, newest, entries, shares, out);
     add_teams(writer, rooms, out);
@@ -469,11 +359,11 @@
     bool active = newest->sequence && newest->active;
     writer->capacity = rr_load_capacity(load);
     correct_estimates(writer, load, newest, now);
-    GArray *entries = gather_entries(writer, load, demand);
+    GArray *entries = rr_admission_entries(writer->config, load, demand, writer->correction);
     writer->stats.backlog_s = writer->stats.asked_s = 0;
     for (guint i = 0; i < entries->len; i++) {
-        writer->stats.backlog_s += g_array_index(entries, struct entry, i).backlog;
-        writer->stats.asked_s += g_array_index(entries, struct entry, i).asked;
+        writer->stats.backlog_s += g_array_index(entries, rr_admission_entry, i).backlog;
+        writer->stats.asked_s += g_array_index(entries, rr_admission_entry, i).asked;
     }
     rr_admission_table_init(out);
     out->sequence = newest->sequence + 1;
@@ -482,7 +372,7 @@
     out->cpu = writer->capacity.cpu;
     out->gpu = writer->capacity.gpu;
     out->mem = writer->capacity.mem;
-    bool room = dominant_amount((rr_amount){1, 1, 1}, writer->capacity) > 0;
+    bool room = rr_dominant_amount((rr_amount){1, 1, 1}, writer->capacity) > 0;
     out->active = room && overloaded(writer, before, active);
     if (out->active) {
         fill_table(writer, load, entries, newest, out);
