Fair admission: a provisioner after a pause starts its estimates anew; rooms told once a table

Cause: read in the code: a controller that becomes the provisioner again took the time since its last table for time in which its teams' tasks had run, and corrected their estimates by up to eight times.

Change: after three intervals without a visit what was remembered is dropped.

--- a/src/admission/writer.c
+++ b/src/admission/writer.c
@@ -3,12 +3,14 @@
 #include "admission/shares.h"
 
 #include <math.h>
+#include <string.h>
 
 #define LEAD 0.4       /* of an interval, before its end: the next table is made from then on */
 #define CALM_TABLES 3u /* without overload before admission ends */
 #define CORRECTION_MAX 8.0
 #define CORRECTION_DECAY 0.9   /* a table; so that the last ten or so count */
 #define CORRECTION_PRIOR_S 1.0 /* time of the whole fleet that the earlier correction weighs */
+#define PAUSE_MAX 3.0 /* intervals between two visits; after a longer pause nothing is known */
 #define EPSILON 1e-9
 
 struct rr_admission_writer {
@@ -53,6 +55,17 @@
 
 /* ---- estimates against what was used ---- */
 
+/* This controller was not the provisioner for a while: what it remembers is of another time. */
+static void forget_old_visits(rr_admission_writer *writer, double now) {
+    if (now - writer->visited_at > PAUSE_MAX * writer->settings->interval_s) {
+        writer->visited_at = 0;
+        writer->calm = 0;
+        memset(writer->used, 0, sizeof writer->used);
+        memset(writer->done, 0, sizeof writer->done);
+        memset(writer->correction, 0, sizeof writer->correction);
+    }
+}
+
 static void correct_estimates(rr_admission_writer *writer, const rr_load *load,
                               const rr_admission_table *newest, double now) {
     double passed = writer->visited_at > 0 ? now - writer->visited_at : 0;
@@ -67,8 +80,10 @@
         }
         writer->used[i] = writer->used[i] * CORRECTION_DECAY +
                           rr_dominant_amount(team->batch, writer->capacity) * passed;
-        writer->done[i] =
-            writer->done[i] * CORRECTION_DECAY + rr_dominant_work(team->done, writer->capacity);
+        if (passed > 0) {
+            writer->done[i] =
+                writer->done[i] * CORRECTION_DECAY + rr_dominant_work(team->done, writer->capacity);
+        }
         /* Until tasks have ended there is nothing to compare with. */
         double correction = earlier;
         if (writer->done[i] > EPSILON) {
@@ -358,6 +373,7 @@
     rr_amount before = writer->capacity;
     bool active = newest->sequence && newest->active;
     writer->capacity = rr_load_capacity(load);
+    forget_old_visits(writer, now);
     correct_estimates(writer, load, newest, now);
     GArray *entries = rr_admission_entries(writer->config, load, demand, writer->correction);
     writer->stats.backlog_s = writer->stats.asked_s = 0;
--- a/src/app/admission_duty.c
+++ b/src/app/admission_duty.c
@@ -26,6 +26,7 @@
     rr_load load;
     double told_for;                   /* wall: the interval for which the demand was told, */
     double settled_for;                /* and whose table is written or not needed */
+    uint64_t rooms_of;                 /* the table whose rooms the core has, 0: none */
     rr_admission_writer_stats written; /* under lock */
 };
 
@@ -268,21 +269,31 @@
     g_array_free(demand, TRUE);
 }
 
-/* The rooms of the table in force, for this controller's own plans. */
+/* Under both locks. */
+static void tell_rooms(struct rr_app *a, const rr_admission_table *table) {
+    double rooms[RR_MAX_TEAMS];
+    for (size_t i = 0; i < a->cfg.nteams; i++) {
+        const rr_admission_team *team = rr_admission_table_team(table, a->cfg.teams[i].name);
+        rooms[i] = team ? team->room : 1;
+    }
+    rr_core_set_fair_room(a->core, rooms, table->cpu, table->gpu, table->mem);
+}
+
+/* The rooms of the table in force, for this controller's own plans; told once for each table. */
 static void set_fair_room(struct rr_app *a, double wall) {
     struct rr_app_admission *state = a->admission;
-    double rooms[RR_MAX_TEAMS];
     pthread_mutex_lock(&a->lock);
     pthread_mutex_lock(&state->lock);
     const rr_admission_table *table = rr_admission_table_at(state->admission, wall);
     bool fresh = table && table->active && rr_core_all_admit(a->core) &&
                  wall < table->starts_at + (1 + RR_ADMISSION_STALE_INTERVALS) * table->length_s;
-    for (size_t i = 0; fresh && i < a->cfg.nteams; i++) {
-        const rr_admission_team *team = rr_admission_table_team(table, a->cfg.teams[i].name);
-        rooms[i] = team ? team->room : 1;
+    uint64_t rooms_of = fresh ? table->sequence : 0;
+    if (fresh && rooms_of != state->rooms_of) {
+        tell_rooms(a, table);
+    } else if (!fresh && state->rooms_of != 0) {
+        rr_core_set_fair_room(a->core, NULL, 0, 0, 0);
     }
-    rr_core_set_fair_room(a->core, fresh ? rooms : NULL, fresh ? table->cpu : 0,
-                          fresh ? table->gpu : 0, fresh ? table->mem : 0);
+    state->rooms_of = rooms_of;
     pthread_mutex_unlock(&state->lock);
     pthread_mutex_unlock(&a->lock);
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -655,6 +655,27 @@
     writing_clear(&w);
 }
 
+/* A controller that was not the provisioner for an hour does not take that hour for what its teams'
+ * tasks have used since its last table: estimates that are right stay so. */
+static void a_provisioner_after_a_pause(void **state) {
+    (void)state;
+    struct writing w;
+    rr_submission job = job_of("red", "flood", "req-1", 4000);
+    writing_init(&w);
+    rr_load_add_job(&w.load, &job, 0, 0, 100, 10);
+    write_table(&w);
+    rr_load_begin(&w.load);
+    rr_load_add_machine(&w.load, "m1", "a", (rr_amount){100, 0, 400});
+    rr_load_add_job(&w.load, &job, 0, 2000, 100, 60);
+    rr_admission_table before = w.made;
+    assert_true(
+        rr_admission_writer_next(w.writer, &w.load, w.demand, &before, 4595, 4595, &w.made));
+    double correction = rr_admission_table_team(&w.made, "red")->correction;
+    assert_true(correction > 0.9 && correction < 1.1);
+    rr_admission_table_clear(&before);
+    writing_clear(&w);
+}
+
 /* ---- settings ---- */
 
 static void check_settings(const char *text, const char *error) {
@@ -776,6 +797,7 @@
         cmocka_unit_test(demand_of_all),
         cmocka_unit_test(accepted_elsewhere),
         cmocka_unit_test(a_job_larger_than_its_share),
+        cmocka_unit_test(a_provisioner_after_a_pause),
         cmocka_unit_test(a_view_that_is_too_large),
         cmocka_unit_test(bad_frames),
         cmocka_unit_test(shares),
