--- a/tests/test_admission_processes.c
+++ b/tests/test_admission_processes.c
@@ -299,10 +299,23 @@
     world_task_seconds(run->w, TASK_S);
 }
 
+/* Only where all went well; else the logs stay. */
+static void remove_files(const struct run *run) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+        char log[300];
+        g_snprintf(log, sizeof log, "%s/n%d.log", run->folder, i);
+        unlink(log);
+        unlink(run->controllers[i].file);
+    }
+    unlink(run->admission);
+    rmdir(run->folder);
+}
+
 static void run_end(struct run *run) {
     for (int i = 0; i < CONTROLLERS; i++) {
         end_process(&run->controllers[i], SIGTERM);
     }
+    remove_files(run);
     for (guint i = 0; i < run->asking->len; i++) {
         g_free(g_ptr_array_index(run->asking, i));
     }
