Cells: a home's time of its last offer goes, as nothing reads it

Cause: seen on reading the change once more: the time was set and never used, and was the only use of a parameter.

Change: both go.

--- a/src/cells/transfer.h
+++ b/src/cells/transfer.h
@@ -62,9 +62,8 @@
     rr_home_record record;  /* as last written or read */
     rr_home_record writing; /* under way if `writes` */
     bool writes;
-    bool running;        /* tasks of it are placed here, not proven over */
-    double free_at;      /* until then a guest may still run it under an earlier grant */
-    double last_sent_at; /* of an offer */
+    bool running;   /* tasks of it are placed here, not proven over */
+    double free_at; /* until then a guest may still run it under an earlier grant */
 } rr_home;
 
 enum rr_home_action { RR_HOME_NOTHING, RR_HOME_WRITE };
@@ -85,7 +84,7 @@
 /* Takes back what is offered, as the guest is not heard or the user has cancelled. */
 rr_home_step rr_home_withdraw(rr_home *home);
 rr_home_step rr_home_end(rr_home *home, enum rr_job_answer answer);
-rr_home_step rr_home_written(rr_home *home, bool done, double now);
+rr_home_step rr_home_written(rr_home *home, bool done);
 rr_home_step rr_home_receive(rr_home *home, uint32_t from, const rr_transfer_message *message,
                              double now, const rr_transfer_times *times);
 /* Repeats an offer that is not answered. */
--- a/src/cells/transfer_home.c
+++ b/src/cells/transfer_home.c
@@ -63,7 +63,7 @@
 }
 
 /* A conflict, or no answer: whoever writes reads the record again first, by rr_home_load(). */
-rr_home_step rr_home_written(rr_home *home, bool done, double now) {
+rr_home_step rr_home_written(rr_home *home, bool done) {
     if (!home->writes || !done) {
         home->writes = false;
         return nothing();
@@ -72,7 +72,6 @@
     home->writes = false;
     home->record = home->writing;
     if (home->record.state == RR_HOME_OFFERED) {
-        home->last_sent_at = now;
         return rr_home_repeat(home);
     }
     if (before != RR_HOME_OFFERED) {
--- a/tests/test_cells_transfer.c
+++ b/tests/test_cells_transfer.c
@@ -136,7 +136,7 @@
     if (crash) {
         rr_home_load(&s->home, &s->home_stored, s->home.running, s->now, &times);
     } else {
-        home_step(s, to, rr_home_written(&s->home, applied, s->now));
+        home_step(s, to, rr_home_written(&s->home, applied));
     }
     if (s->home.record.state == RR_HOME_FINAL) {
         s->told = s->home.record.answer;
