--- a/src/app/admission_duty.c
+++ b/src/app/admission_duty.c
@@ -34,6 +34,9 @@
 static void on_record(void *user, const char *rest, const msgpack_object *value, uint64_t version) {
     struct rr_app_admission *state = user;
     rr_admission_stats before, after;
+    if (!value) {
+        return; /* tables are written over, never deleted */
+    }
     pthread_mutex_lock(&state->lock);
     rr_admission_get_stats(state->admission, &before);
     rr_admission_put(state->admission, rest, value, version);
--- a/src/app/app.c
+++ b/src/app/app.c
@@ -2,6 +2,7 @@
 #include "app/clock.h"
 #include "app/log.h"
 #include "app/thread.h"
+#include "cells/links.h"
 
 #include <errno.h>
 #include <malloc.h>
@@ -110,9 +111,13 @@
 
 /* Beside the connections': main, the door's own two and its opener, the duties, the senders and the
  * peers' threads; and two sockets for each that calls out: a client keeps one and opens another. */
+static int cells_threads(const struct rr_config *cfg) {
+    return cfg->cells ? 1 + RR_CELLS_MAX + RR_CELLS_CONNECTIONS : 0;
+}
+
 int rr_app_connections(const struct rr_config *cfg) {
-    int threads = 4 + (int)G_N_ELEMENTS(duties) + cfg->admission + cfg->tune.senders + 1 +
-                  (int)cfg->npeers + RR_PEER_CONNS + SPARE;
+    int threads = 4 + (int)G_N_ELEMENTS(duties) + cfg->admission + cells_threads(cfg) +
+                  cfg->tune.senders + 1 + (int)cfg->npeers + RR_PEER_CONNS + SPARE;
     return rr_door_limit(cfg, threads, 2 * threads);
 }
 
@@ -145,7 +150,11 @@
     rr_budget_next(a->budget, a->cfg.next_rps, a->cfg.next_write_rps);
     a->peers = rr_peers_create(&a->cfg, &ev, &a->stop);
     int rc = rr_app_admission_start(a);
-    rc = rc == 0 ? rr_peers_start(a->peers) : rc;
+    rc = rc == 0 ? rr_app_cells_start(a) : rc;
+    if (rc != 0) {
+        goto fail;
+    }
+    rc = rr_peers_start(a->peers);
     if (rc != 0) {
         rr_log(RR_ERROR_LEVEL, "peer_listen: %s", strerror(-rc));
         goto fail;
@@ -199,6 +208,7 @@
     for (int i = 0; i < a->nthreads; i++) {
         pthread_join(a->threads[i], NULL);
     }
+    rr_app_cells_join(a);
     rr_peers_stop(a->peers);
     rr_peers_destroy(a->peers);
     g_queue_clear_full(&a->do_queue, (GDestroyNotify)rr_do_free);
@@ -207,4 +217,5 @@
     rr_budget_destroy(a->budget);
     rr_core_destroy(a->core);
     rr_app_admission_stop(a);
+    rr_app_cells_stop(a);
 }
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -3,6 +3,8 @@
 #define RR_APP_APP_H
 
 #include "admission/settings.h"
+#include "cells/settings.h"
+#include "cells/transfers.h"
 #include "core/core.h"
 #include "http/door.h"
 #include "peer/peer.h"
@@ -23,6 +25,7 @@
     pthread_cond_t work;     /* planner and provisioner have something to look at */
     rr_core *core;
     uint64_t kicks;  /* counts wakes of `work` */
+    bool planning;   /* a plan is made and its outcome not known yet */
     bool store_down; /* the last call of a user's request to the store failed */
     double store_ok_at;
     /* rr_do*: commands, and those that may well go unanswered, which must not hold up the others.
@@ -52,6 +55,8 @@
 
     rr_admission_settings admission_settings; /* cleared by rr_app_stop() */
     struct rr_app_admission *admission;       /* NULL: switched off */
+    rr_cells_settings cells_settings;         /* cleared by rr_app_stop() */
+    struct rr_app_cells *cells;               /* NULL: switched off */
     rr_budget *budget;
     rr_stats *stats;
     rr_peers *peers;
@@ -109,8 +114,24 @@
 void rr_app_admission_log(struct rr_app *a);
 void *rr_duty_admission(void *app);
 
+/* cells_duty.c. All do nothing where cells are switched off. */
+int rr_app_cells_start(struct rr_app *a); /* before the threads that read records; 0 or -errno */
+void rr_app_cells_join(struct rr_app *a); /* after the stop: its threads end */
+void rr_app_cells_stop(struct rr_app *a); /* after the core's end */
+void rr_app_cells_log(struct rr_app *a);
+/* A job that is not known here: what the other cells say. False: none of them knows it. */
+bool rr_app_cells_relay(struct rr_app *a, bool cancel, const char *job_id,
+                        struct rr_response *response);
+/* What stands between a cancellation and its record; begins to take the job back. Not FREE: when to
+ * come back. */
+enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id, int *retry_after_s);
+
 /* handlers.c */
 void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs);
+void rr_app_refuse(struct rr_response *rs, int status, const char *why, int retry_after_s);
+/* A user's requests for a job, answered by what this cell alone knows. */
+void rr_app_poll_here(struct rr_app *a, const char *ref, struct rr_response *rs);
+void rr_app_cancel_here(struct rr_app *a, const char *ref, struct rr_response *rs);
 
 /* duties: one thread each */
 void *rr_duty_session(void *app);
--- /dev/null
+++ b/src/app/cells_duty.c
@@ -0,0 +1,386 @@
+/* Cells in this process: a duty for each neighbour drives the transfers with it, connections from
+ * neighbours are answered, and users' requests for jobs of other cells are carried there.
+ *
+ * The transfers are under the core's lock. Requests, replies and changes go on without it. */
+#include "app/duty.h"
+#include "app/clock.h"
+#include "app/log.h"
+#include "app/usage.h"
+#include "admission/verdict.h"
+#include "app/thread.h"
+#include "cells/links.h"
+#include "cells/transfers.h"
+
+#include <math.h>
+#include <string.h>
+
+#define LOOKS 40.0 /* at the transfers in a lease */
+#define LOOK_MAX_S 0.5
+#define DOWN_S 5.0 /* a neighbour that did not answer is taken for unreachable for so long */
+#define RELAY_RETRY_S 2
+
+struct neighbour_duty {
+    struct rr_app *app;
+    size_t neighbour;
+    pthread_t thread;
+    bool started;
+};
+
+struct rr_app_cells {
+    rr_transfers *transfers; /* under the core's lock */
+    rr_cells_links *links;
+    struct neighbour_duty duties[RR_CELLS_MAX];
+    double down_until[RR_CELLS_MAX]; /* steady, under the core's lock */
+};
+
+/* Called with the core's lock held, as records come. */
+static void on_record(void *user, const char *rest, const msgpack_object *value, uint64_t version) {
+    struct rr_app_cells *state = user;
+    if (!rr_transfers_put(state->transfers, rest, value, version)) {
+        rr_log(RR_DEBUG_LEVEL, "cells: a record of an unknown form is passed over");
+    }
+}
+
+/* ---- changes ---- */
+
+/* The other controllers stop the tasks of a copy in their answers, too. */
+static void tell_end_of_copy(struct rr_app *a, const char *local_id) {
+    pthread_mutex_lock(&a->lock);
+    rr_core_cancel_hint(a->core, local_id, rr_now());
+    bool able = rr_core_peers_able(a->core);
+    pthread_mutex_unlock(&a->lock);
+    if (able) {
+        rr_peers_cancelled(a->peers, local_id, rr_now() + a->cfg.cancel_s);
+    }
+}
+
+static rr_transfer_message commit_write(struct rr_app *a, rr_store *store,
+                                        const rr_transfer_write *write) {
+    uint64_t revision = 0;
+    if (write->ends_copy) {
+        tell_end_of_copy(a, write->id);
+    }
+    enum rr_commit rc = rr_app_commit(a, store, RR_PRIO_USER, &write->txn, &revision);
+    pthread_mutex_lock(&a->lock);
+    double now = rr_now();
+    if (rc == RR_COMMITTED) {
+        rr_core_apply(a->core, &write->txn, revision, now);
+    } else if (rc == RR_CONFLICT) {
+        rr_app_wait_epoch(a, revision, now + 1);
+    }
+    rr_transfer_message message =
+        rr_transfers_written(a->cells->transfers, write, rc == RR_COMMITTED, now);
+    rr_app_kick(a);
+    pthread_mutex_unlock(&a->lock);
+    if (rc != RR_COMMITTED) {
+        rr_log(RR_DEBUG_LEVEL, "cells: a change of %s was not made (%d)", write->id, (int)rc);
+    }
+    return message;
+}
+
+/* ---- the duty ---- */
+
+static void take_replies(struct rr_app *a, rr_store *store, size_t neighbour,
+                         const rr_cells_request *request, const rr_cells_reply *reply) {
+    for (guint i = 0; i < request->items->len; i++) {
+        rr_transfer_write write;
+        pthread_mutex_lock(&a->lock);
+        bool writes = rr_transfers_replied(
+            a->cells->transfers, neighbour, &g_array_index(request->items, rr_cells_item, i),
+            &g_array_index(reply->items, rr_cells_item, i).message, rr_now(), rr_wall(), &write);
+        pthread_mutex_unlock(&a->lock);
+        if (writes) {
+            commit_write(a, store, &write);
+            rr_transfer_write_clear(&write);
+        }
+    }
+}
+
+static void note_answer(struct rr_app *a, size_t neighbour, bool answered) {
+    pthread_mutex_lock(&a->lock);
+    a->cells->down_until[neighbour] = answered ? 0 : rr_now() + DOWN_S;
+    if (!answered) {
+        rr_transfers_unanswered(a->cells->transfers, neighbour, rr_now());
+    }
+    pthread_mutex_unlock(&a->lock);
+}
+
+/* False: there was no answer. */
+static bool send_request(struct rr_app *a, rr_store *store, rr_cells_client *client,
+                         size_t neighbour, const rr_cells_request *request) {
+    rr_cells_reply reply;
+    int rc = rr_cells_ask(client, request, &reply);
+    note_answer(a, neighbour, rc == 0);
+    if (rc == 0 && reply.status == RR_CELLS_OK && reply.items->len == request->items->len) {
+        pthread_mutex_lock(&a->lock);
+        rr_transfers_room_told(a->cells->transfers, neighbour, &reply.room, rr_now());
+        pthread_mutex_unlock(&a->lock);
+        take_replies(a, store, neighbour, request, &reply);
+    } else if (rc == 0) {
+        rr_log(RR_DEBUG_LEVEL, "cells: %s answers: %s", request->to,
+               rr_cells_status_name(reply.status));
+    }
+    rr_cells_reply_clear(&reply);
+    return rc == 0;
+}
+
+static void look(struct rr_app *a, rr_store *store, rr_cells_client *client, size_t neighbour) {
+    rr_transfers_plan plan;
+    rr_transfers_plan_init(&plan);
+    pthread_mutex_lock(&a->lock);
+    rr_transfers_look(a->cells->transfers, neighbour, !a->planning, rr_now(), rr_wall(), &plan);
+    pthread_mutex_unlock(&a->lock);
+    for (guint i = 0; i < plan.writes->len; i++) {
+        commit_write(a, store, g_ptr_array_index(plan.writes, i));
+    }
+    bool answers = true;
+    for (guint i = 0; i < plan.requests->len && answers && !rr_duty_stopping(a); i++) {
+        answers = send_request(a, store, client, neighbour, g_ptr_array_index(plan.requests, i));
+    }
+    rr_transfers_plan_clear(&plan);
+}
+
+static void *neighbour_main(void *argument) {
+    const struct neighbour_duty *duty = argument;
+    struct rr_app *a = duty->app;
+    rr_usage_enter(RR_USE_CELLS);
+    rr_store *store = rr_duty_open_store(a);
+    rr_cells_client *client = rr_cells_client_create(&a->cells_settings, duty->neighbour, &a->stop);
+    double pause = fmin(a->cells_settings.lease_s / LOOKS, LOOK_MAX_S);
+    while (!rr_duty_stopping(a)) {
+        look(a, store, client, duty->neighbour);
+        rr_duty_pause(a, pause);
+    }
+    rr_cells_client_destroy(client);
+    rr_store_destroy(store);
+    rr_usage_leave();
+    return NULL;
+}
+
+/* ---- requests of neighbours ---- */
+
+static void serve_item(struct rr_app *a, void **context, size_t neighbour,
+                       const rr_cells_request *request, const rr_cells_item *item,
+                       rr_transfer_message *reply) {
+    rr_transfer_write write;
+    pthread_mutex_lock(&a->lock);
+    double now = rr_now();
+    bool speaks = rr_transfers_speaks_for(a->cells->transfers, request->team, now);
+    bool writes = speaks && rr_transfers_receive(a->cells->transfers, neighbour, request, item, now,
+                                                 rr_wall(), reply, &write);
+    pthread_mutex_unlock(&a->lock);
+    if (writes) {
+        if (!*context) {
+            *context = rr_duty_open_store(a);
+        }
+        *reply = commit_write(a, *context, &write);
+        rr_transfer_write_clear(&write);
+    }
+}
+
+static void serve_transfers(struct rr_app *a, void **context, size_t neighbour,
+                            const rr_cells_request *request, rr_cells_reply *reply) {
+    pthread_mutex_lock(&a->lock);
+    bool speaks = rr_transfers_speaks_for(a->cells->transfers, request->team, rr_now());
+    const char *owner = rr_core_team_owner(a->core, request->team);
+    g_strlcpy(reply->owner, owner && strcmp(owner, a->cfg.node_name) != 0 ? owner : "",
+              sizeof reply->owner);
+    pthread_mutex_unlock(&a->lock);
+    if (!speaks) {
+        reply->status = RR_CELLS_NOT_OWNER;
+        return;
+    }
+    for (guint i = 0; i < request->items->len; i++) {
+        const rr_cells_item *item = &g_array_index(request->items, rr_cells_item, i);
+        rr_transfer_message message = {.kind = RR_TRANSFER_NOTHING};
+        serve_item(a, context, neighbour, request, item, &message);
+        rr_cells_add_item(reply->items, item->job_id, &message);
+    }
+    pthread_mutex_lock(&a->lock);
+    reply->room = rr_transfers_room(a->cells->transfers, rr_now());
+    pthread_mutex_unlock(&a->lock);
+}
+
+/* Another cell's user asks here, for a job that this cell may have accepted. */
+static void serve_user(struct rr_app *a, const rr_cells_request *request, rr_cells_reply *reply) {
+    struct rr_response response = {0};
+    rr_out_init(&response.body);
+    if (request->kind == RR_CELLS_POLL) {
+        rr_app_poll_here(a, request->job_id, &response);
+    } else {
+        rr_app_cancel_here(a, request->job_id, &response);
+    }
+    reply->http_status = response.status;
+    reply->retry_after_s = response.retry_after_s;
+    g_byte_array_append(reply->body, (const guint8 *)response.body.buf.data,
+                        (guint)response.body.buf.size);
+    rr_out_clear(&response.body);
+}
+
+static void serve(void *user, void **context, size_t neighbour, const rr_cells_request *request,
+                  rr_cells_reply *reply) {
+    if (request->kind == RR_CELLS_TRANSFERS) {
+        serve_transfers(user, context, neighbour, request, reply);
+    } else {
+        serve_user(user, request, reply);
+    }
+}
+
+static void end_context(void *context) {
+    rr_store_destroy(context);
+}
+
+/* ---- users' requests for other cells' jobs ---- */
+
+static bool reachable(struct rr_app *a, size_t neighbour) {
+    pthread_mutex_lock(&a->lock);
+    bool up = rr_now() >= a->cells->down_until[neighbour];
+    pthread_mutex_unlock(&a->lock);
+    return up;
+}
+
+/* True: the cell has answered, and knows the job or not. */
+static bool relay_to(struct rr_app *a, size_t neighbour, const rr_cells_request *request,
+                     struct rr_response *response) {
+    rr_cells_reply reply;
+    if (!reachable(a, neighbour)) {
+        return false;
+    }
+    rr_cells_client *client = rr_cells_client_create(&a->cells_settings, neighbour, &a->stop);
+    int rc = rr_cells_ask(client, request, &reply);
+    bool answered = rc == 0 && reply.status == RR_CELLS_OK && reply.http_status > 0;
+    if (rc != 0) {
+        note_answer(a, neighbour, false);
+    }
+    if (answered) {
+        response->status = reply.http_status;
+        response->retry_after_s = reply.retry_after_s;
+        msgpack_sbuffer_clear(&response->body.buf);
+        msgpack_sbuffer_write(&response->body.buf, (const char *)reply.body->data, reply.body->len);
+    }
+    rr_cells_reply_clear(&reply);
+    rr_cells_client_destroy(client);
+    return answered;
+}
+
+/* One that knows the job answers; that none does is said only when every one was asked. */
+bool rr_app_cells_relay(struct rr_app *a, bool cancel, const char *job_id,
+                        struct rr_response *response) {
+    rr_cells_request request;
+    bool all = true, known = false;
+    if (!a->cells) {
+        return false;
+    }
+    rr_cells_request_init(&request, cancel ? RR_CELLS_CANCEL : RR_CELLS_POLL);
+    g_strlcpy(request.from, a->cells_settings.name, sizeof request.from);
+    g_strlcpy(request.job_id, job_id, sizeof request.job_id);
+    for (size_t i = 0; i < a->cells_settings.nneighbours && !known; i++) {
+        g_strlcpy(request.to, a->cells_settings.neighbours[i].name, sizeof request.to);
+        bool answered = relay_to(a, i, &request, response);
+        known = answered && response->status != 404;
+        all = all && answered;
+    }
+    rr_cells_request_clear(&request);
+    if (!known && !all) {
+        msgpack_sbuffer_clear(&response->body.buf);
+        rr_app_refuse(response, 503, "a cell that may know the job is not reachable",
+                      RELAY_RETRY_S);
+    }
+    return known || !all;
+}
+
+enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id, int *retry_after_s) {
+    rr_transfer_write write;
+    double wait_s = 0;
+    if (!a->cells) {
+        return RR_CANCEL_FREE;
+    }
+    pthread_mutex_lock(&a->lock);
+    enum rr_cancel_first first =
+        rr_transfers_cancel(a->cells->transfers, job_id, rr_wall(), &wait_s, &write);
+    pthread_mutex_unlock(&a->lock);
+    if (first == RR_CANCEL_WITHDRAW) {
+        uint64_t revision = 0;
+        rr_store *store = rr_duty_open_store(a);
+        enum rr_commit rc = rr_store_commit(store, RR_PRIO_USER, &write.txn, 1.5, &revision, NULL);
+        rr_store_destroy(store);
+        if (rc == RR_COMMITTED) {
+            pthread_mutex_lock(&a->lock);
+            rr_core_apply(a->core, &write.txn, revision, rr_now());
+            pthread_mutex_unlock(&a->lock);
+        }
+        rr_transfer_write_clear(&write);
+    }
+    *retry_after_s = (int)fmax(1, fmin(ceil(wait_s), RR_RETRY_AFTER_MAX_S));
+    return first;
+}
+
+/* ---- life ---- */
+
+int rr_app_cells_start(struct rr_app *a) {
+    if (!a->cfg.cells) {
+        return 0;
+    }
+    struct rr_app_cells *state = g_new0(struct rr_app_cells, 1);
+    uint64_t process = (uint64_t)g_random_int() << 32 | g_random_int();
+    state->transfers = rr_transfers_create(&a->cells_settings, &a->cfg, a->core, process);
+    rr_core_watch_records(a->core, RR_CELLS_PREFIX, on_record, state);
+    a->cells = state;
+    int rc =
+        rr_cells_links_start(&a->cells_settings, &a->stop, serve, end_context, a, &state->links);
+    for (size_t i = 0; rc == 0 && i < a->cells_settings.nneighbours; i++) {
+        struct neighbour_duty *duty = &state->duties[i];
+        *duty = (struct neighbour_duty){.app = a, .neighbour = i};
+        rc = rr_thread_start(&duty->thread, neighbour_main, duty, false);
+        duty->started = rc == 0;
+    }
+    if (rc != 0) {
+        rr_log(RR_ERROR_LEVEL, "cells: %s:%u: %s", a->cells_settings.listen.host,
+               a->cells_settings.listen.port, strerror(-rc));
+    }
+    return rc;
+}
+
+void rr_app_cells_join(struct rr_app *a) {
+    for (size_t i = 0; a->cells && i < RR_CELLS_MAX; i++) {
+        if (a->cells->duties[i].started) {
+            pthread_join(a->cells->duties[i].thread, NULL);
+        }
+    }
+    if (a->cells) {
+        rr_cells_links_destroy(a->cells->links);
+        a->cells->links = NULL;
+    }
+}
+
+void rr_app_cells_stop(struct rr_app *a) {
+    if (a->cells) {
+        rr_transfers_destroy(a->cells->transfers);
+        g_free(a->cells);
+        a->cells = NULL;
+    }
+    rr_cells_settings_clear(&a->cells_settings);
+}
+
+void rr_app_cells_log(struct rr_app *a) {
+    rr_transfers_stats stats;
+    rr_cells_links_stats links;
+    if (!a->cells) {
+        return;
+    }
+    pthread_mutex_lock(&a->lock);
+    rr_transfers_get_stats(a->cells->transfers, &stats);
+    pthread_mutex_unlock(&a->lock);
+    rr_cells_links_get_stats(a->cells->links, &links);
+    rr_log(RR_INFO_LEVEL,
+           "cells: %s, %u of our jobs away or back, %u of others here; so far offered "
+           "%" G_GUINT64_FORMAT ", taken %" G_GUINT64_FORMAT ", refused %" G_GUINT64_FORMAT
+           ", ended elsewhere %" G_GUINT64_FORMAT ", withdrawn %" G_GUINT64_FORMAT
+           "; accepted %" G_GUINT64_FORMAT ", given back %" G_GUINT64_FORMAT
+           ", lapsed %" G_GUINT64_FORMAT "; granted %" G_GUINT64_FORMAT
+           "; strangers %" G_GUINT64_FORMAT ", refused requests %" G_GUINT64_FORMAT,
+           stats.spilling ? "spilling" : "not spilling", stats.outgoing, stats.incoming,
+           stats.offered, stats.taken, stats.refused, stats.finished, stats.withdrawn,
+           stats.accepted, stats.given_back, stats.lapsed, stats.granted, links.strangers,
+           links.refused);
+}
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -9,7 +9,7 @@
 #define LAG_MS 1000   /* pauses late by more: nobody waits as long for what is asked now */
 #define BARRIER_S 1.6 /* a poll's user waits for 2 s */
 
-static void refuse(struct rr_response *rs, int status, const char *why, int retry_after_s) {
+void rr_app_refuse(struct rr_response *rs, int status, const char *why, int retry_after_s) {
     rs->status = status;
     rs->retry_after_s = retry_after_s;
     rr_put_map(&rs->body, 1);
@@ -88,7 +88,7 @@
 static bool answer_known(struct rr_app *a, const char *ref, struct rr_response *rs) {
     rr_job_view v;
     if (!view_behind_barrier(a, ref, &v)) {
-        refuse(rs, 503, "state not reachable", 1);
+        rr_app_refuse(rs, 503, "state not reachable", 1);
         return true;
     }
     if (v.known) {
@@ -105,7 +105,7 @@
     bool down = !rr_core_loaded(a->core) || (a->store_down && rr_now() - a->store_ok_at > 2);
     pthread_mutex_unlock(&a->lock);
     if (down) {
-        refuse(rs, 503, "state not reachable", 2);
+        rr_app_refuse(rs, 503, "state not reachable", 2);
         return;
     }
     rr_core_job_key(s->ref, u.key, sizeof u.key);
@@ -113,13 +113,13 @@
     rr_core_job_encode(&u.value, s, rr_wall(), false);
     /* The store counts JSON, which is longer than what is packed here. */
     if (1.4 * (double)u.value.buf.size > rr_value_kb(&a->cfg) * 1024) {
-        refuse(rs, 400, "too large", 0);
+        rr_app_refuse(rs, 400, "too large", 0);
     } else if (!commit_for_user(a, &u)) {
-        refuse(rs, 503, "overloaded", 2);
+        rr_app_refuse(rs, 503, "overloaded", 2);
     } else if (u.outcome == RR_COMMITTED) {
         answer_standing(rs, 201, s->ref, "queued");
     } else if (u.outcome != RR_CONFLICT || !answer_known(a, s->ref, rs)) {
-        refuse(rs, 503, "state not reachable", 1);
+        rr_app_refuse(rs, 503, "state not reachable", 1);
     }
     rr_out_clear(&u.value);
 }
@@ -145,7 +145,7 @@
     if (rc == 0 && admit == RR_ADMIT_OK) {
         int retry_after_s = 0;
         if (!rr_app_admission_ask(a, &s, &retry_after_s)) {
-            refuse(rs, 503, "the fair share is used up", retry_after_s);
+            rr_app_refuse(rs, 503, "the fair share is used up", retry_after_s);
         } else {
             accept_job(a, &s, rs);
         }
@@ -161,11 +161,11 @@
         return;
     }
     if (rc != 0) {
-        refuse(rs, 400, why, 0);
+        rr_app_refuse(rs, 400, why, 0);
     } else if (admit == RR_ADMIT_NEVER) {
-        refuse(rs, 422, why, 0);
+        rr_app_refuse(rs, 422, why, 0);
     } else {
-        refuse(rs, 503, why, 1);
+        rr_app_refuse(rs, 503, why, 1);
     }
 }
 
@@ -173,7 +173,7 @@
     double began = rr_now();
     /* New work is what goes first when there is too little time: told before a byte is decoded. */
     if (atomic_load(&a->lag_ms) > LAG_MS) {
-        refuse(rs, 503, "overloaded", 2);
+        rr_app_refuse(rs, 503, "overloaded", 2);
     } else {
         decide_submission(a, rq, rs);
     }
@@ -184,13 +184,13 @@
     }
 }
 
-static void poll_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
+void rr_app_poll_here(struct rr_app *a, const char *ref, struct rr_response *rs) {
     rr_job_view v = {0};
     bool valid = rr_ref_valid(ref);
     if (valid && !view_behind_barrier(a, ref, &v)) {
-        refuse(rs, 503, "state not reachable", 1);
+        rr_app_refuse(rs, 503, "state not reachable", 1);
     } else if (!v.known) {
-        refuse(rs, 404, "no such job", 0);
+        rr_app_refuse(rs, 404, "no such job", 0);
     } else {
         rs->status = 200;
         rr_put_map(&rs->body, 4);
@@ -224,16 +224,16 @@
     bool answered = true;
     if (!open) {
         if (!view_behind_barrier(a, ref, &v)) {
-            refuse(rs, 503, "state not reachable", 1);
+            rr_app_refuse(rs, 503, "state not reachable", 1);
         } else if (!v.known) {
-            refuse(rs, 404, "no such job", 0);
+            rr_app_refuse(rs, 404, "no such job", 0);
         } else if (v.done || v.aborted) {
             answer_standing(rs, 200, ref, v.standing);
         } else {
             answered = false; /* it came to be known just now */
         }
     } else if (!commit_for_user(a, &u)) {
-        refuse(rs, 503, "overloaded", 1);
+        rr_app_refuse(rs, 503, "overloaded", 1);
     } else if (u.outcome == RR_COMMITTED) {
         rr_log(RR_DEBUG_LEVEL, "job %s is cancelled", ref);
         tell_peers(a, ref);
@@ -243,29 +243,48 @@
         answered = !rr_app_wait_epoch(a, u.epoch, until);
         pthread_mutex_unlock(&a->lock);
         if (answered) {
-            refuse(rs, 503, "state not reachable", 1);
+            rr_app_refuse(rs, 503, "state not reachable", 1);
         }
     } else {
-        refuse(rs, 503, "state not reachable", 1);
+        rr_app_refuse(rs, 503, "state not reachable", 1);
     }
     rr_out_clear(&u.value);
     return answered;
 }
 
-static void cancel_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
+void rr_app_cancel_here(struct rr_app *a, const char *ref, struct rr_response *rs) {
     double until = rr_now() + 2.5;
+    int retry_after_s = 0;
     if (!rr_ref_valid(ref)) {
-        refuse(rs, 404, "no such job", 0);
+        rr_app_refuse(rs, 404, "no such job", 0);
+        return;
+    }
+    if (rr_app_cells_cancel(a, ref, &retry_after_s) != RR_CANCEL_FREE) {
+        rr_app_refuse(rs, 503, "another cell may still run the job", retry_after_s);
         return;
     }
     while (!try_cancel(a, ref, until, rs)) {
         if (rr_now() > until || atomic_load(&a->stop)) {
-            refuse(rs, 503, "busy", 1);
+            rr_app_refuse(rs, 503, "busy", 1);
             return;
         }
     }
 }
 
+static void poll_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
+    rr_app_poll_here(a, ref, rs);
+    if (rs->status == 404 && rr_ref_valid(ref)) {
+        rr_app_cells_relay(a, false, ref, rs);
+    }
+}
+
+static void cancel_job(struct rr_app *a, const char *ref, struct rr_response *rs) {
+    rr_app_cancel_here(a, ref, rs);
+    if (rs->status == 404 && rr_ref_valid(ref)) {
+        rr_app_cells_relay(a, true, ref, rs);
+    }
+}
+
 /* ---- workers ---- */
 
 void rr_app_take_report(struct rr_app *a, const void *body, size_t len, int via, unsigned hops) {
@@ -304,7 +323,7 @@
     if (rc != 0) {
         rr_report_clear(&r);
         rr_log(RR_INFO_LEVEL, "unreadable report of %zu bytes", rq->len);
-        refuse(rs, 400, "unreadable report", 0);
+        rr_app_refuse(rs, 400, "unreadable report", 0);
         return;
     }
     rr_heard h = {
@@ -341,7 +360,7 @@
     if (ok) {
         rs->status = 200;
     } else {
-        refuse(rs, 503, "not ready", 1);
+        rr_app_refuse(rs, 503, "not ready", 1);
     }
 }
 
@@ -351,7 +370,7 @@
     if (strcmp(rq->method, method) == 0) {
         return true;
     }
-    refuse(rs, 405, "wrong method", 0);
+    rr_app_refuse(rs, 405, "wrong method", 0);
     rs->allow = method;
     return false;
 }
@@ -362,7 +381,7 @@
     const char *slash = strchr(rest, '/');
     size_t n = slash ? (size_t)(slash - rest) : strlen(rest);
     if (n >= sizeof ref || (slash && strcmp(slash, "/cancel") != 0)) {
-        refuse(rs, 404, "no such path", 0);
+        rr_app_refuse(rs, 404, "no such path", 0);
         return;
     }
     memcpy(ref, rest, n);
@@ -393,6 +412,6 @@
     } else if (strncmp(rq->path, "/submissions/", 13) == 0) {
         route_job(a, rq, rs, rq->path + 13);
     } else {
-        refuse(rs, 404, "no such path", 0);
+        rr_app_refuse(rs, 404, "no such path", 0);
     }
 }
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -23,7 +23,7 @@
 __attribute__((section(".preinit_array"), used)) static void (*const before_glib)(void) = no_slices;
 
 struct options {
-    char *config, *settings, *admission;
+    char *config, *settings, *admission, *cells;
     gboolean version, check;
 };
 
@@ -48,6 +48,8 @@
          "The operators' own settings; or RINGROCK_SETTINGS in the environment", "FILE"},
         {"admission", 'a', 0, G_OPTION_ARG_FILENAME, &o->admission,
          "Switches fair admission on; or RINGROCK_ADMISSION in the environment", "FILE"},
+        {"cells", 0, 0, G_OPTION_ARG_FILENAME, &o->cells,
+         "Lets work spill over between cells; or RINGROCK_CELLS in the environment", "FILE"},
         {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
         {0}};
@@ -100,6 +102,10 @@
                                         size);
         app->cfg.admission = rc == 0;
     }
+    if (rc == 0 && o->cells) {
+        rc = rr_cells_settings_load(o->cells, &app->cfg, &app->cells_settings, err, size);
+        app->cfg.cells = rc == 0;
+    }
     return rc;
 }
 
@@ -119,6 +125,9 @@
     if (!o.admission) {
         o.admission = g_strdup(getenv("RINGROCK_ADMISSION"));
     }
+    if (!o.cells) {
+        o.cells = g_strdup(getenv("RINGROCK_CELLS"));
+    }
     if (load_settings(&o, app, err, sizeof err) != 0) {
         fprintf(stderr, "ringrock: %s\n", err);
         rc = 2;
@@ -139,5 +148,6 @@
     g_free(o.config);
     g_free(o.settings);
     g_free(o.admission);
+    g_free(o.cells);
     return rc;
 }
--- a/src/app/planner_duty.c
+++ b/src/app/planner_duty.c
@@ -20,12 +20,12 @@
 
 /* Our own changes are in the mirror at once; those that others made first come with the watch. */
 static uint64_t plan_outcome(struct rr_app *a, const rr_txn *t, enum rr_commit rc, uint64_t epoch) {
+    pthread_mutex_lock(&a->lock);
     if (rc == RR_COMMITTED) {
-        pthread_mutex_lock(&a->lock);
         rr_core_apply(a->core, t, epoch, rr_now());
-        pthread_mutex_unlock(&a->lock);
-        return 0;
     }
+    a->planning = false;
+    pthread_mutex_unlock(&a->lock);
     return rc == RR_CONFLICT ? epoch : 0;
 }
 
@@ -76,6 +76,7 @@
             double began = rr_now();
             rr_core_plan(a->core, began, rr_wall(), &p);
             queue_dos(a, &p);
+            a->planning = p.has_txn;
             pause = fmin(PAUSE_FACTOR * (rr_now() - began), PAUSE_MAX_S);
         }
         pthread_mutex_unlock(&a->lock);
--- a/src/app/term_duty.c
+++ b/src/app/term_duty.c
@@ -17,6 +17,7 @@
     rr_core_get_stats(a->core, &st);
     pthread_mutex_unlock(&a->lock);
     rr_app_admission_log(a);
+    rr_app_cells_log(a);
     char used[256];
     rr_usage_line(used, sizeof used);
     struct mallinfo2 heap = mallinfo2();
--- a/src/app/usage.c
+++ b/src/app/usage.c
@@ -6,8 +6,9 @@
 
 #define THREADS_MAX 192 /* more are not told apart from the door's */
 
-static const char *const names[RR_USES] = {"session",     "mirror",  "users", "planner",
-                                           "provisioner", "senders", "peers", "admission"};
+static const char *const names[RR_USES] = {"session", "mirror",      "users",
+                                           "planner", "provisioner", "senders",
+                                           "peers",   "admission",   "cells"};
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct {
--- a/src/app/usage.h
+++ b/src/app/usage.h
@@ -15,6 +15,7 @@
     RR_USE_SENDERS,
     RR_USE_PEERS,
     RR_USE_ADMISSION,
+    RR_USE_CELLS,
     RR_USES
 };
 
--- /dev/null
+++ b/src/cells/messages.c
@@ -0,0 +1,220 @@
+#include "cells/messages.h"
+#include "peer/frame.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define MICROSECONDS 1e6
+#define ROOM_UNIT 1e3 /* room is told in thousandths */
+#define BODY_MAX (64u * 1024)
+#define SUBMISSION_MAX (16u * 1024)
+
+static void clear_item(gpointer data) {
+    rr_cells_item *item = data;
+    if (item->submission) {
+        g_byte_array_free(item->submission, TRUE);
+    }
+}
+
+static GArray *new_items(void) {
+    GArray *items = g_array_new(FALSE, TRUE, sizeof(rr_cells_item));
+    g_array_set_clear_func(items, clear_item);
+    return items;
+}
+
+void rr_cells_request_init(rr_cells_request *request, enum rr_cells_request_kind kind) {
+    memset(request, 0, sizeof *request);
+    request->version = RR_CELLS_VERSION;
+    request->kind = kind;
+    request->items = new_items();
+}
+
+void rr_cells_request_clear(rr_cells_request *request) {
+    g_array_free(request->items, TRUE);
+    request->items = NULL;
+}
+
+void rr_cells_reply_init(rr_cells_reply *reply) {
+    memset(reply, 0, sizeof *reply);
+    reply->items = new_items();
+    reply->body = g_byte_array_new();
+}
+
+void rr_cells_reply_clear(rr_cells_reply *reply) {
+    g_array_free(reply->items, TRUE);
+    g_byte_array_free(reply->body, TRUE);
+    reply->items = NULL;
+    reply->body = NULL;
+}
+
+void rr_cells_add_item(GArray *items, const char *job_id, const rr_transfer_message *message) {
+    rr_cells_item item = {.message = *message};
+    g_strlcpy(item.job_id, job_id, sizeof item.job_id);
+    g_array_append_val(items, item);
+}
+
+/* ---- packing ---- */
+
+static void pack_item(const rr_cells_item *item, GByteArray *out) {
+    GByteArray *packed = g_byte_array_new();
+    rr_frame_u8(packed, (uint8_t)item->message.kind);
+    rr_frame_text(packed, item->job_id);
+    rr_frame_u32(packed, item->message.claim);
+    rr_frame_u8(packed, (uint8_t)item->message.answer);
+    rr_frame_u64(packed, (uint64_t)(item->message.sent_at * MICROSECONDS));
+    rr_frame_u64(packed, item->message.asker);
+    rr_frame_bytes(packed, item->submission ? item->submission->data : NULL,
+                   item->submission ? item->submission->len : 0);
+    rr_frame_bytes(out, packed->data, packed->len);
+    g_byte_array_free(packed, TRUE);
+}
+
+static void pack_items(const GArray *items, GByteArray *out) {
+    rr_frame_u16(out, (uint16_t)items->len);
+    for (guint i = 0; i < items->len; i++) {
+        pack_item(&g_array_index(items, rr_cells_item, i), out);
+    }
+}
+
+void rr_cells_request_pack(const rr_cells_request *request, GByteArray *out) {
+    guint at = rr_frame_begin(out, RR_FRAME_CELLS);
+    rr_frame_u8(out, request->version);
+    rr_frame_u8(out, (uint8_t)request->kind);
+    rr_frame_text(out, request->from);
+    rr_frame_text(out, request->to);
+    if (request->kind == RR_CELLS_TRANSFERS) {
+        rr_frame_u64(out, (uint64_t)(request->lease_s * MICROSECONDS));
+        rr_frame_u64(out, (uint64_t)(request->rest_s * MICROSECONDS));
+        rr_frame_text(out, request->team);
+        pack_items(request->items, out);
+    } else {
+        rr_frame_text(out, request->job_id);
+    }
+    rr_frame_end(out, at);
+}
+
+static void pack_amount(double amount, GByteArray *out) {
+    rr_frame_u64(out, amount > 0 ? (uint64_t)(amount * ROOM_UNIT) : 0);
+}
+
+void rr_cells_reply_pack(const rr_cells_reply *reply, GByteArray *out) {
+    guint at = rr_frame_begin(out, RR_FRAME_CELLS_REPLY);
+    rr_frame_u8(out, RR_CELLS_VERSION);
+    rr_frame_u8(out, (uint8_t)reply->status);
+    rr_frame_text(out, reply->owner);
+    pack_items(reply->items, out);
+    rr_frame_u16(out, (uint16_t)reply->http_status);
+    rr_frame_u16(out, (uint16_t)reply->retry_after_s);
+    rr_frame_bytes(out, reply->body->data, reply->body->len);
+    pack_amount(reply->room.cpu, out);
+    pack_amount(reply->room.gpu, out);
+    pack_amount(reply->room.mem, out);
+    rr_frame_end(out, at);
+}
+
+/* ---- unpacking ---- */
+
+static bool known_message(uint8_t kind) {
+    return kind <= RR_TRANSFER_ACK;
+}
+
+static GByteArray *unpack_bytes(rr_unpack *from, uint32_t most) {
+    uint32_t len;
+    const uint8_t *data = rr_unpack_bytes(from, &len);
+    if (from->bad || len > most) {
+        from->bad = true;
+        return NULL;
+    }
+    GByteArray *out = g_byte_array_new();
+    if (len) {
+        g_byte_array_append(out, data, len);
+    }
+    return out;
+}
+
+static bool unpack_item(rr_unpack *from, rr_cells_item *item) {
+    uint32_t len;
+    const uint8_t *data = rr_unpack_bytes(from, &len);
+    rr_unpack fields = {data, len, from->bad};
+    uint8_t kind = rr_unpack_u8(&fields);
+    rr_unpack_text(&fields, item->job_id, sizeof item->job_id);
+    item->message.claim = rr_unpack_u32(&fields);
+    uint8_t answer = rr_unpack_u8(&fields);
+    item->message.sent_at = (double)rr_unpack_u64(&fields) / MICROSECONDS;
+    item->message.asker = rr_unpack_u64(&fields);
+    item->submission = unpack_bytes(&fields, SUBMISSION_MAX);
+    item->message.kind = (enum rr_transfer_kind)kind;
+    item->message.answer = (enum rr_job_answer)answer;
+    bool empty = kind == RR_TRANSFER_NOTHING;
+    return !fields.bad && known_message(kind) && answer <= RR_ANSWER_CANCELLED &&
+           (empty || rr_ref_valid(item->job_id));
+}
+
+static bool unpack_items(rr_unpack *from, GArray *items) {
+    uint16_t count = rr_unpack_u16(from);
+    bool good = !from->bad && count <= RR_CELLS_ITEMS_MAX;
+    for (uint16_t i = 0; good && i < count; i++) {
+        rr_cells_item item = {0};
+        good = unpack_item(from, &item);
+        g_array_append_val(items, item);
+    }
+    return good;
+}
+
+int rr_cells_request_unpack(const void *data, size_t len, rr_cells_request *out) {
+    rr_unpack from = {data, len, false};
+    rr_cells_request_init(out, RR_CELLS_TRANSFERS);
+    out->version = rr_unpack_u8(&from);
+    uint8_t kind = rr_unpack_u8(&from);
+    rr_unpack_text(&from, out->from, sizeof out->from);
+    rr_unpack_text(&from, out->to, sizeof out->to);
+    if (from.bad) {
+        return -EBADMSG;
+    }
+    if (out->version < RR_CELLS_VERSION || kind < RR_CELLS_TRANSFERS || kind > RR_CELLS_CANCEL) {
+        return -EPROTO;
+    }
+    out->kind = (enum rr_cells_request_kind)kind;
+    bool good = true;
+    if (out->kind == RR_CELLS_TRANSFERS) {
+        out->lease_s = (double)rr_unpack_u64(&from) / MICROSECONDS;
+        out->rest_s = (double)rr_unpack_u64(&from) / MICROSECONDS;
+        rr_unpack_text(&from, out->team, sizeof out->team);
+        good = unpack_items(&from, out->items);
+    } else {
+        rr_unpack_text(&from, out->job_id, sizeof out->job_id);
+        good = rr_ref_valid(out->job_id);
+    }
+    return good && !from.bad ? 0 : -EBADMSG;
+}
+
+int rr_cells_reply_unpack(const void *data, size_t len, rr_cells_reply *out) {
+    rr_unpack from = {data, len, false};
+    rr_cells_reply_init(out);
+    uint8_t version = rr_unpack_u8(&from), status = rr_unpack_u8(&from);
+    if (!from.bad && (version < RR_CELLS_VERSION || status >= RR_CELLS_STATUSES)) {
+        return -EPROTO;
+    }
+    out->status = (enum rr_cells_status)status;
+    rr_unpack_text(&from, out->owner, sizeof out->owner);
+    if (!unpack_items(&from, out->items)) {
+        return -EBADMSG;
+    }
+    out->http_status = rr_unpack_u16(&from);
+    out->retry_after_s = rr_unpack_u16(&from);
+    GByteArray *body = unpack_bytes(&from, BODY_MAX);
+    if (body) {
+        g_byte_array_free(out->body, TRUE);
+        out->body = body;
+    }
+    out->room.cpu = (double)rr_unpack_u64(&from) / ROOM_UNIT;
+    out->room.gpu = (double)rr_unpack_u64(&from) / ROOM_UNIT;
+    out->room.mem = (double)rr_unpack_u64(&from) / ROOM_UNIT;
+    return from.bad ? -EBADMSG : 0;
+}
+
+const char *rr_cells_status_name(enum rr_cells_status status) {
+    static const char *const names[RR_CELLS_STATUSES] = {
+        "ok", "not the owner", "busy", "version unknown", "malformed", "wrong cell"};
+    return status < RR_CELLS_STATUSES ? names[status] : "unknown";
+}
--- /dev/null
+++ b/src/cells/networks.c
@@ -0,0 +1,88 @@
+#include "cells/networks.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <libcidr.h>
+#include <string.h>
+
+struct rr_networks {
+    GPtrArray *prefixes; /* CIDR* */
+};
+
+static void free_prefix(gpointer prefix) {
+    cidr_free(prefix);
+}
+
+rr_networks *rr_networks_create(void) {
+    rr_networks *networks = g_new0(rr_networks, 1);
+    networks->prefixes = g_ptr_array_new_with_free_func(free_prefix);
+    return networks;
+}
+
+void rr_networks_destroy(rr_networks *networks) {
+    if (networks) {
+        g_ptr_array_free(networks->prefixes, TRUE);
+        g_free(networks);
+    }
+}
+
+/* One of two prefixes that overlap contains the other. */
+static bool overlap(const CIDR *a, const CIDR *b) {
+    return cidr_contains(a, b) == 0 || cidr_contains(b, a) == 0;
+}
+
+static bool overlaps_any(const rr_networks *networks, const CIDR *prefix) {
+    for (guint i = 0; i < networks->prefixes->len; i++) {
+        if (overlap(g_ptr_array_index(networks->prefixes, i), prefix)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* An address with a prefix's length is taken for a mistake: which of the two is meant is not known.
+ */
+static bool is_network(const CIDR *prefix) {
+    CIDR *network = cidr_addr_network(prefix);
+    bool same = network && cidr_equals(network, prefix) == 0;
+    if (network) {
+        cidr_free(network);
+    }
+    return same;
+}
+
+int rr_networks_add(rr_networks *networks, const char *prefix) {
+    CIDR *parsed = strchr(prefix, '/') ? cidr_from_str(prefix) : NULL;
+    if (!parsed) {
+        return -EINVAL;
+    }
+    int rc = is_network(parsed) ? 0 : -EINVAL;
+    rc = rc == 0 && overlaps_any(networks, parsed) ? -EEXIST : rc;
+    if (rc == 0) {
+        g_ptr_array_add(networks->prefixes, parsed);
+    } else {
+        cidr_free(parsed);
+    }
+    return rc;
+}
+
+bool rr_networks_overlap(const rr_networks *a, const rr_networks *b) {
+    for (guint i = 0; i < a->prefixes->len; i++) {
+        if (overlaps_any(b, g_ptr_array_index(a->prefixes, i))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool rr_networks_contain(const rr_networks *networks, const struct in_addr *address) {
+    CIDR *host = cidr_from_inaddr(address);
+    bool found = false;
+    for (guint i = 0; host && !found && i < networks->prefixes->len; i++) {
+        found = cidr_contains(g_ptr_array_index(networks->prefixes, i), host) == 0;
+    }
+    if (host) {
+        cidr_free(host);
+    }
+    return found;
+}
--- /dev/null
+++ b/src/cells/networks.h
@@ -0,0 +1,18 @@
+/* Sets of IP networks, as CIDR prefixes (libcidr). */
+#ifndef RR_CELLS_NETWORKS_H
+#define RR_CELLS_NETWORKS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+
+typedef struct rr_networks rr_networks;
+
+rr_networks *rr_networks_create(void);
+void rr_networks_destroy(rr_networks *networks);
+/* 0; -EINVAL: no CIDR prefix, or one with bits set beyond it; -EEXIST: it overlaps with one that is
+ * in the set. */
+int rr_networks_add(rr_networks *networks, const char *prefix);
+bool rr_networks_overlap(const rr_networks *a, const rr_networks *b);
+bool rr_networks_contain(const rr_networks *networks, const struct in_addr *address);
+
+#endif
--- /dev/null
+++ b/src/cells/records.h
@@ -0,0 +1,44 @@
+/* The records of transfers in a cell's state service: one for each of its jobs that was offered to
+ * another cell, one for each claim that it holds for another. */
+#ifndef RR_CELLS_RECORDS_H
+#define RR_CELLS_RECORDS_H
+
+#include "cells/settings.h"
+#include "cells/transfer.h"
+#include "wire/wire.h"
+
+#define RR_CELLS_PREFIX "rr/cells/"
+#define RR_CELLS_OUT "out/"
+#define RR_CELLS_IN "in/"
+
+typedef struct {
+    char team[RR_TEXT];
+    char guest[RR_CELL_NAME];
+    enum rr_home_state state;
+    uint32_t claim;
+    double withdrawn_at; /* wall: grants end a lease after; 0 while it is offered */
+} rr_out_record;
+
+typedef struct {
+    char team[RR_TEXT];
+    char home[RR_CELL_NAME];
+    char job_id[RR_ID]; /* as its home calls it; here it has the name of rr_cells_local_id() */
+    enum rr_guest_state state;
+    uint32_t claim;
+    enum rr_job_answer answer;
+} rr_in_record;
+
+void rr_cells_out_key(const char *job_id, char *out, size_t size);
+void rr_cells_in_key(const char *local_id, char *out, size_t size);
+void rr_cells_out_encode(const rr_out_record *record, rr_out *out);
+void rr_cells_in_encode(const rr_in_record *record, rr_out *out);
+/* 0, or -EBADMSG. */
+int rr_cells_out_decode(const msgpack_object *value, rr_out_record *out);
+int rr_cells_in_decode(const msgpack_object *value, rr_in_record *out);
+
+/* What a guest calls the job that it holds under this claim: another name for each claim, so that a
+ * final copy of an earlier one says nothing. */
+void rr_cells_local_id(const char *home, const char *job_id, uint32_t claim, char *out,
+                       size_t size);
+
+#endif
--- a/src/cells/transfer_home.c
+++ b/src/cells/transfer_home.c
@@ -126,7 +126,10 @@
     case RR_TRANSFER_ENDED:
         return take_answer(home, from, message);
     case RR_TRANSFER_REFUSE:
-        return in_force(home, from, message->claim) ? rr_home_withdraw(home) : nothing();
+        if (in_force(home, from, message->claim)) {
+            return rr_home_withdraw(home);
+        }
+        return home->writes ? nothing() : reply(RR_TRANSFER_VOID, message->claim);
     default:
         return nothing();
     }
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -81,6 +81,7 @@
     double core_share, ram_mb;
     int max_sockets;
     bool admission; /* fair admission is switched on here */
+    bool cells;     /* work may spill over to other cells, and theirs to this one */
     struct rr_tuning tune;
 };
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -180,8 +180,10 @@
 void rr_core_released(rr_core *c, double now, const GPtrArray *ids);
 
 /* ---- for packages beside the core (observe.c) ---- */
-/* Hands every record under this prefix to fn, with the rest of its key, whenever
- * the mirror takes it. One prefix; set once, before the first record comes. */
+/* Hands every record under this prefix to fn, with the rest of its key, whenever the mirror takes
+ * it; value NULL: it is deleted. At most RR_RECORD_WATCHES prefixes, before the first record comes.
+ */
+#define RR_RECORD_WATCHES 2
 typedef void (*rr_core_record_fn)(void *user, const char *rest, const msgpack_object *value,
                                   uint64_t version);
 void rr_core_watch_records(rr_core *c, const char *prefix, rr_core_record_fn fn, void *user);
@@ -203,6 +205,46 @@
  * while others wait; NULL: no overload. The rooms are copied. */
 void rr_core_set_fair_room(rr_core *c, const double *rooms, double cpu, double gpu, double mem);
 
+/* One job, as far as another cell is concerned. */
+typedef struct {
+    const rr_submission *submission; /* valid while the core is locked */
+    double at;                       /* wall, when accepted */
+    bool known;                      /* its record is */
+    bool done, cancelled;
+    uint32_t placed, ndone;
+} rr_core_job;
+/* False: not known as more than a line; a final one may still be. */
+bool rr_core_find_job(const rr_core *c, const char *job_id, rr_core_job *out);
+/* Who plans the team's jobs in this term: a controller's name, NULL: nobody. */
+const char *rr_core_team_owner(const rr_core *c, const char *team);
+/* Adds the job's final record, done, for a job of which nothing is placed here. False: no such job
+ * is open. */
+bool rr_core_finish_job(const rr_core *c, const char *job_id, rr_txn *t);
+/* Adds a record of the job that marks it cancelled. False: it is not known or final. */
+bool rr_core_abandon_job(const rr_core *c, const char *job_id, rr_txn *t);
+/* Jobs that this controller plans, of which nothing has begun; none of another cell, and no service
+ * (docs/cells.md). at: wall, when accepted. */
+typedef void (*rr_core_spillable_fn)(void *user, const rr_submission *submission, double at);
+void rr_core_each_spillable(const rr_core *c, double now, rr_core_spillable_fn fn, void *user);
+/* Every controller of the term keeps the holds below. */
+bool rr_core_all_hold(const rr_core *c);
+/* The job's cancellation is confirmed, by its record or a peer's word. */
+bool rr_core_job_cancelled(const rr_core *c, const char *job_id, double now);
+
+/* ---- jobs that another cell has a say in (holds.c) ---- */
+enum rr_hold_kind {
+    RR_HOLD_AWAY,  /* offered to another cell: not placed here */
+    RR_HOLD_BACK,  /* it was: placed only in a term whose owner knows that it is over there */
+    RR_HOLD_GUEST, /* another cell's: placed, and left running, while that one grants it */
+};
+/* The job's owner places none of its tasks until it is released, in every term anew. */
+void rr_core_hold_job(rr_core *c, const char *job_id, enum rr_hold_kind kind);
+void rr_core_unhold_job(rr_core *c, const char *job_id);
+/* In the present term, until then. */
+void rr_core_release_job(rr_core *c, const char *job_id, double until);
+/* Takes the release back: what runs is stopped. */
+void rr_core_revoke_job(rr_core *c, const char *job_id);
+
 /* ---- for logs and tests ---- */
 typedef struct {
     unsigned machines, booting, jobs_open, tasks_waiting, tasks_placed, moves;
--- /dev/null
+++ b/src/core/holds.c
@@ -0,0 +1,73 @@
+/* Jobs that another cell has a say in: their owner places their tasks only while released. A
+ * release ends with its time and with its term, so that a new owner begins with none. */
+#include "core/model.h"
+
+typedef struct {
+    enum rr_hold_kind kind;
+    uint64_t token; /* of the term in which it was released */
+    double until;   /* steady */
+    bool revoked;   /* what runs is to be stopped */
+} rr_hold;
+
+void rr_core_hold_job(rr_core *c, const char *job_id, enum rr_hold_kind kind) {
+    rr_hold *hold = g_hash_table_lookup(c->holds, job_id);
+    if (!hold) {
+        hold = g_new0(rr_hold, 1);
+        g_hash_table_insert(c->holds, g_strdup(job_id), hold);
+    }
+    if (hold->kind != kind) {
+        hold->until = 0;
+    }
+    hold->kind = kind;
+}
+
+void rr_core_unhold_job(rr_core *c, const char *job_id) {
+    g_hash_table_remove(c->holds, job_id);
+}
+
+void rr_core_release_job(rr_core *c, const char *job_id, double until) {
+    rr_hold *hold = g_hash_table_lookup(c->holds, job_id);
+    if (hold) {
+        hold->token = c->term.token;
+        hold->until = until;
+    }
+}
+
+void rr_core_revoke_job(rr_core *c, const char *job_id) {
+    rr_hold *hold = g_hash_table_lookup(c->holds, job_id);
+    const rr_job *job = g_hash_table_lookup(c->jobs, job_id);
+    if (hold) {
+        hold->until = 0;
+        hold->revoked = true;
+    }
+    for (guint n = 0; job && job->runs && n < job->runs->len; n++) {
+        const rr_run *run = g_ptr_array_index(job->runs, n);
+        for (guint i = 0; run && i < run->items->len; i++) {
+            rr_touch(c, g_array_index(run->items, rr_item, i).m);
+        }
+    }
+}
+
+static const rr_hold *hold_of(const rr_core *c, const rr_job *job) {
+    return g_hash_table_size(c->holds) ? g_hash_table_lookup(c->holds, job->s.ref) : NULL;
+}
+
+bool rr_job_held(const rr_core *c, const rr_job *job, double now) {
+    const rr_hold *hold = hold_of(c, job);
+    return hold && (hold->token != c->term.token || now >= hold->until);
+}
+
+bool rr_job_revoked(const rr_core *c, const rr_job *job) {
+    const rr_hold *hold = hold_of(c, job);
+    return hold && hold->revoked;
+}
+
+bool rr_job_away(const rr_core *c, const rr_job *job) {
+    const rr_hold *hold = hold_of(c, job);
+    return hold && hold->kind == RR_HOLD_AWAY;
+}
+
+bool rr_job_of_another_cell(const rr_core *c, const rr_job *job) {
+    const rr_hold *hold = hold_of(c, job);
+    return hold && hold->kind == RR_HOLD_GUEST;
+}
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -116,6 +116,7 @@
     c->changes = rr_txn_ops(cfg);
     c->zone_counts = g_array_new(FALSE, TRUE, sizeof(rr_zone_count));
     c->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->holds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->cancel_hints = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->sessions = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     c->rentals = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, rental_free);
@@ -132,7 +133,10 @@
     if (!c) {
         return;
     }
-    g_free(c->record_prefix);
+    for (guint i = 0; i < c->nwatches; i++) {
+        g_free(c->watches[i].prefix);
+    }
+    g_hash_table_destroy(c->holds);
     g_array_free(c->plan_moves, TRUE);
     g_array_free(c->arrivals, TRUE);
     g_array_free(c->cut_at, TRUE);
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -156,9 +156,16 @@
     guint leaving, arriving;
 };
 
+typedef struct {
+    char *prefix;
+    rr_core_record_fn fn;
+    void *user;
+} rr_record_watch;
+
 typedef struct {
     char name[RR_NAME];
     uint64_t tether;
+    bool holds;    /* keeps holds of other cells' jobs */
     uint64_t able; /* 0: a version that knows no gangs; not kept in terms */
 } rr_session;
 
@@ -275,9 +282,9 @@
     unsigned plans;
 
     /* Given by packages beside the core. */
-    char *record_prefix; /* NULL: none */
-    rr_core_record_fn record_fn;
-    void *record_user;
+    rr_record_watch watches[RR_RECORD_WATCHES];
+    guint nwatches;
+    GHashTable *holds;              /* job id -> rr_hold (holds.c) */
     bool fair;                      /* the next two hold */
     double fair_room[RR_MAX_TEAMS]; /* part of all room, by team of the settings */
     rr_res all_room;
@@ -414,6 +421,17 @@
 /* cancel_hints.c */
 bool rr_cancel_hinted(const rr_core *c, const char *job_id, double now);
 
+/* holds.c */
+bool rr_job_held(const rr_core *c, const rr_job *job, double now); /* none of its tasks is placed */
+bool rr_job_revoked(const rr_core *c, const rr_job *job);          /* and those that run go */
+bool rr_job_away(const rr_core *c, const rr_job *job);
+bool rr_job_of_another_cell(const rr_core *c, const rr_job *job);
+
+/* observe.c */
+bool rr_watched_record(const rr_core *c, const char *key, const msgpack_object *value,
+                       uint64_t version);
+void rr_job_final_record(const rr_job *job, rr_txn *t); /* done */
+
 /* allocation.c */
 bool rr_job_allows(const rr_core *c, const rr_job *j, int build, int zone, bool spot);
 /* The zones in which one more task of the job may start, given its placements (and, while moving,
--- a/src/core/observe.c
+++ b/src/core/observe.c
@@ -1,10 +1,27 @@
 /* What packages beside the core see of it, and what they tell it. */
 #include "core/model.h"
 
+#include <string.h>
+
 void rr_core_watch_records(rr_core *c, const char *prefix, rr_core_record_fn fn, void *user) {
-    c->record_prefix = g_strdup(prefix);
-    c->record_fn = fn;
-    c->record_user = user;
+    if (c->nwatches == RR_RECORD_WATCHES) {
+        return;
+    }
+    c->watches[c->nwatches++] = (rr_record_watch){g_strdup(prefix), fn, user};
+}
+
+/* True: a package's record. */
+bool rr_watched_record(const rr_core *c, const char *key, const msgpack_object *value,
+                       uint64_t version) {
+    for (guint i = 0; i < c->nwatches; i++) {
+        const rr_record_watch *watch = &c->watches[i];
+        size_t len = strlen(watch->prefix);
+        if (strncmp(key, watch->prefix, len) == 0) {
+            watch->fn(watch->user, key + len, value, version);
+            return true;
+        }
+    }
+    return false;
 }
 
 void rr_core_each_machine(const rr_core *c, rr_core_machine_fn fn, void *user) {
@@ -24,7 +41,7 @@
     g_hash_table_iter_init(&iterator, c->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const rr_job *job = value;
-        bool open = job->mark && !job->cancelled && !job->done;
+        bool open = job->mark && !job->cancelled && !job->done && !rr_job_away(c, job);
         uint32_t waiting = open ? job->s.pieces - job->ndone - job->nplaced : 0;
         if (job->mark) {
             fn(user, &job->s, job->team, waiting, job->nplaced, job->ndone);
@@ -48,3 +65,69 @@
 double rr_core_mirror_age(const rr_core *c, double now) {
     return now - c->fresh_at;
 }
+
+bool rr_core_find_job(const rr_core *c, const char *job_id, rr_core_job *out) {
+    const rr_job *job = g_hash_table_lookup(c->jobs, job_id);
+    if (!job || !job->mark) {
+        return false;
+    }
+    *out =
+        (rr_core_job){&job->s, job->at, true, job->done, job->cancelled, job->nplaced, job->ndone};
+    return true;
+}
+
+const char *rr_core_team_owner(const rr_core *c, const char *team) {
+    int index = rr_config_team(c->cfg, team);
+    int place =
+        index >= 0 && (guint)index < c->owners->len ? g_array_index(c->owners, int, index) : -1;
+    bool known = place >= 0 && (guint)place < c->term.nodes->len;
+    return known ? g_array_index(c->term.nodes, rr_session, place).name : NULL;
+}
+
+void rr_job_final_record(const rr_job *job, rr_txn *t) {
+    char key[RR_ID + 64];
+    rr_out o;
+    rr_out_init(&o);
+    rr_put_map(&o, 4);
+    rr_put_key_text(&o, "ref", job->s.ref);
+    rr_put_key_text(&o, "final", "done");
+    rr_put_key_text(&o, "crew", job->s.team);
+    rr_put_key_u64(&o, "pieces", job->s.pieces);
+    rr_core_job_key(job->s.ref, key, sizeof key);
+    rr_txn_guard(t, key, job->own_mark);
+    rr_txn_put(t, key, &o, 0);
+}
+
+static rr_job *open_job(const rr_core *c, const char *job_id) {
+    rr_job *job = g_hash_table_lookup(c->jobs, job_id);
+    return job && job->mark && !job->done && !job->cancelled ? job : NULL;
+}
+
+bool rr_core_finish_job(const rr_core *c, const char *job_id, rr_txn *t) {
+    const rr_job *job = open_job(c, job_id);
+    if (job && job->nplaced == 0) {
+        rr_job_final_record(job, t);
+    }
+    return job && job->nplaced == 0;
+}
+
+bool rr_core_abandon_job(const rr_core *c, const char *job_id, rr_txn *t) {
+    const rr_job *job = open_job(c, job_id);
+    if (job) {
+        char key[RR_ID + 64];
+        rr_out o;
+        rr_out_init(&o);
+        rr_core_job_encode(&o, &job->s, job->at, true);
+        rr_core_job_key(job_id, key, sizeof key);
+        rr_txn_guard(t, key, job->own_mark);
+        rr_txn_put(t, key, &o, 0);
+    }
+    return job != NULL;
+}
+
+bool rr_core_job_cancelled(const rr_core *c, const char *job_id, double now) {
+    const rr_job *job = g_hash_table_lookup(c->jobs, job_id);
+    bool done = false;
+    bool final = rr_job_final(c, job_id, &done, NULL);
+    return (job && job->cancelled) || (final && !done) || rr_cancel_hinted(c, job_id, now);
+}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -150,7 +150,17 @@
 static bool waits(const rr_core *c, const rr_job *j, double now) {
     return j->mark && !j->cancelled && !j->done && j->team >= 0 &&
            (size_t)j->team < c->cfg->nteams && j->ndone + j->nplaced < j->s.pieces &&
-           now >= j->hold_until && rr_owns_team(c, j->team);
+           now >= j->hold_until && rr_owns_team(c, j->team) && !rr_job_held(c, j, now);
+}
+
+void rr_core_each_spillable(const rr_core *c, double now, rr_core_spillable_fn fn, void *user) {
+    for (guint i = 0; i < c->open->len; i++) {
+        const rr_job *j = g_ptr_array_index(c->open, i);
+        if (waits(c, j, now) && j->nplaced == 0 && j->ndone == 0 && j->s.shape != RR_SERVICE &&
+            !rr_job_of_another_cell(c, j)) {
+            fn(user, &j->s, j->at);
+        }
+    }
 }
 
 bool rr_any_waits(const struct rr_planner *p) {
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -324,17 +324,7 @@
 /* ---- putting it together ---- */
 
 static void put_final(struct rr_planner *p, const rr_job *j) {
-    char key[RR_ID + 64];
-    rr_out o;
-    rr_out_init(&o);
-    rr_put_map(&o, 4);
-    rr_put_key_text(&o, "ref", j->s.ref);
-    rr_put_key_text(&o, "final", "done");
-    rr_put_key_text(&o, "crew", j->s.team);
-    rr_put_key_u64(&o, "pieces", j->s.pieces);
-    rr_core_job_key(j->s.ref, key, sizeof key);
-    rr_txn_guard(&p->out->txn, key, j->own_mark);
-    rr_txn_put(&p->out->txn, key, &o, 0);
+    rr_job_final_record(j, &p->out->txn);
     rr_log_at(p->c, RR_LOG_DEBUG,
               "job %s is done, %u tasks, %.0f s after it came, due after %.0f, guess %.0f",
               j->s.ref, j->s.pieces, p->wall - j->at, j->s.deadline_s, j->s.runtime_estimate_s);
--- a/src/core/provisioner_demand.c
+++ b/src/core/provisioner_demand.c
@@ -252,7 +252,8 @@
 /* Tasks of the job for which room is wanted: no more than the team's limit lets run at a time, and
  * than can be rented soon. */
 static uint32_t wanted_tasks(const rr_core *c, const rr_job *j) {
-    if (!j->mark || j->cancelled || j->done || j->team < 0 || (size_t)j->team >= c->cfg->nteams) {
+    if (!j->mark || j->cancelled || j->done || rr_job_away(c, j) || rr_job_of_another_cell(c, j) ||
+        j->team < 0 || (size_t)j->team >= c->cfg->nteams) {
         return 0;
     }
     const struct rr_team_config *t = &c->cfg->teams[j->team];
--- a/src/core/reconcile.c
+++ b/src/core/reconcile.c
@@ -84,14 +84,15 @@
     if (pl->job->s.shape == RR_GANG && rr_gang_stops(p->c, pl->job, p->now, &saving)) {
         return true;
     }
-    return pl->job->cancelled || rr_job_task_done(pl->job, pl->task) || pl->evict ||
-           m->rep.spot_notice_s >= 0;
+    return pl->job->cancelled || rr_job_revoked(p->c, pl->job) ||
+           rr_job_task_done(pl->job, pl->task) || pl->evict || m->rep.spot_notice_s >= 0;
 }
 
 /* Time to save: what the aim of the work that waits, or the notice, leaves. */
 static double leave_for(const struct rr_planner *p, const rr_machine *m, const rr_place *pl) {
     bool saving = true;
-    if (pl->job->cancelled || pl->job->done || pl->job->s.checkpoint_interval_s <= 0) {
+    if (pl->job->cancelled || pl->job->done || rr_job_revoked(p->c, pl->job) ||
+        pl->job->s.checkpoint_interval_s <= 0) {
         return 0;
     }
     /* A gang saves whole: who has saved waits for those that were told last. */
--- a/src/core/store_cache.c
+++ b/src/core/store_cache.c
@@ -12,6 +12,7 @@
     g_strlcpy(s->name, name, sizeof s->name);
     s->tether = tether;
     rr_get_u64(v, "able", &s->able);
+    rr_get_bool(v, "holds", &s->holds);
     g_hash_table_replace(c->sessions, s->name, s);
 }
 
@@ -88,9 +89,7 @@
         rr_build_put(c, v);
     } else if (after(key, RR_ROOT "batch/")) {
         rr_batch_put(c, key, v, mark, now);
-    } else if (c->record_prefix && (rest = after(key, c->record_prefix))) {
-        c->record_fn(c->record_user, rest, v, mark);
-    } else {
+    } else if (!rr_watched_record(c, key, v, mark)) {
         /* An earlier version's ledger (by machine) and whatever else: passed over. */
         rr_log_at(c, RR_LOG_DEBUG, "record %s is of no known form", key);
     }
@@ -108,6 +107,8 @@
         g_hash_table_remove(c->rentals, rest);
     } else if (after(key, RR_ROOT "batch/")) {
         g_hash_table_remove(c->batches, key);
+    } else {
+        rr_watched_record(c, key, NULL, mark);
     }
 }
 
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -20,8 +20,11 @@
 /* What this version can do beyond the first ones, told in its session's record. Those pass over the
  * field. */
 void rr_core_node_put(const struct rr_config *cfg, rr_out *o, uint64_t tether) {
-    rr_put_map(o, 2);
+    rr_put_map(o, cfg->cells ? 3 : 2);
     rr_put_key_u64(o, "tether", tether);
+    if (cfg->cells) {
+        rr_put_key_bool(o, "holds", true);
+    }
     rr_put_key_u64(o, "able", cfg->admission ? RR_ABLE_ADMISSION : RR_ABLE_GANGS);
 }
 
@@ -43,6 +46,16 @@
     return all;
 }
 
+bool rr_core_all_hold(const rr_core *c) {
+    bool all = c->term.nodes->len > 0;
+    for (guint i = 0; i < c->term.nodes->len; i++) {
+        const rr_session *t = &g_array_index(c->term.nodes, rr_session, i);
+        const rr_session *s = g_hash_table_lookup(c->sessions, t->name);
+        all = all && s && s->tether == t->tether && s->holds;
+    }
+    return all;
+}
+
 static const rr_session *term_node(const rr_core *c, const char *name) {
     for (guint i = 0; i < c->term.nodes->len; i++) {
         const rr_session *s = &g_array_index(c->term.nodes, rr_session, i);
--- a/src/peer/ask.c
+++ b/src/peer/ask.c
@@ -7,7 +7,7 @@
 
 /* A connection of its own to the peer, greeted; -errno if it can't be reached. */
 static int dial_peer(rr_peers *p, int peer, GByteArray *f) {
-    int fd = rr_peer_dial(&p->cfg->peers[peer].endpoint, 1.0);
+    int fd = rr_peer_dial(NULL, &p->cfg->peers[peer].endpoint, 1.0);
     if (fd < 0) {
         return fd;
     }
@@ -29,7 +29,7 @@
         rr_frame_u64(f, tether);
         rr_frame_end(f, at);
         if (rr_peer_send(fd, f->data, f->len) == 0 &&
-            rr_peer_receive(p, &in, &type, &u, 2.0) == 0 && type == RR_FRAME_ANSWER) {
+            rr_peer_receive(p->stop, &in, &type, &u, 2.0) == 0 && type == RR_FRAME_ANSWER) {
             yes = rr_unpack_u8(&u) == 0 && !u.bad;
         }
         close(fd);
@@ -59,7 +59,7 @@
     rr_frame_end(f, at);
     rc = -EIO;
     if (rr_peer_send(fd, f->data, f->len) != 0 ||
-        rr_peer_receive(p, &in, &type, &u, timeout_s + 1) != 0 || type != RR_FRAME_ANSWER) {
+        rr_peer_receive(p->stop, &in, &type, &u, timeout_s + 1) != 0 || type != RR_FRAME_ANSWER) {
         goto end;
     }
     uint8_t how = rr_unpack_u8(&u);
--- a/src/peer/internal.h
+++ b/src/peer/internal.h
@@ -8,6 +8,7 @@
 #include "peer/cancellations.h"
 #include "peer/frame.h"
 #include "peer/peer.h"
+#include "peer/stream.h"
 
 #include <pthread.h>
 
@@ -49,24 +50,6 @@
     int conns; /* running connection threads, under lock */
 };
 
-/* ---- stream.c ---- */
-
-/* Bytes read from a connection and not yet taken: one read brings many frames. */
-struct inbox {
-    int fd;
-    GByteArray *buf;
-    guint at;
-};
-
-void rr_inbox_init(struct inbox *in, int fd);
-void rr_inbox_clear(struct inbox *in);
-/* The next frame's payload, in the inbox until the next call. 0; -EIO at the end of the stream, of
- * the time, or at the stop; -EBADMSG. */
-int rr_peer_receive(const rr_peers *p, struct inbox *in, uint8_t *type, rr_unpack *u,
-                    double timeout_s);
-void rr_peer_set_timeouts(int fd, double seconds);
-int rr_peer_dial(const struct rr_endpoint *to, double timeout_s); /* a socket, or -errno */
-int rr_peer_send(int fd, const void *data, size_t len);           /* all of it, or -EIO */
 void rr_peer_put_hello(const rr_peers *p, GByteArray *b);
 
 /* ---- threads ---- */
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -165,7 +165,7 @@
 static int link_send(struct link *l, int *fd, const GByteArray *frames) {
     const struct rr_peer_config *peer = &l->owner->cfg->peers[l->index];
     if (*fd < 0) {
-        *fd = rr_peer_dial(&peer->endpoint, 1.0);
+        *fd = rr_peer_dial(NULL, &peer->endpoint, 1.0);
         if (*fd < 0) {
             return -EIO;
         }
--- a/src/peer/listener.c
+++ b/src/peer/listener.c
@@ -185,7 +185,7 @@
     rr_usage_enter(RR_USE_PEERS);
     rr_inbox_init(&in, c->fd);
     rr_peer_set_timeouts(c->fd, 5);
-    while (client && rr_peer_receive(p, &in, &type, &u, IDLE_S) == 0 &&
+    while (client && rr_peer_receive(p->stop, &in, &type, &u, IDLE_S) == 0 &&
            serve(c, client, type, &u) == 0) {
     }
     close(c->fd);
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -35,6 +35,12 @@
     return p;
 }
 
+void rr_peer_put_hello(const rr_peers *p, GByteArray *b) {
+    guint at = rr_frame_begin(b, RR_FRAME_HELLO);
+    rr_frame_text(b, p->cfg->node_name);
+    rr_frame_end(b, at);
+}
+
 int rr_peers_start(rr_peers *p) {
     int fd = rr_socket_bind(&p->cfg->peer_listen, 0);
     if (fd < 0) {
--- a/src/peer/stream.c
+++ b/src/peer/stream.c
@@ -1,5 +1,4 @@
-/* Frames over blocking sockets, bounded in time. */
-#include "peer/internal.h"
+#include "peer/stream.h"
 #include "app/clock.h"
 #include "net/socket.h"
 
@@ -18,12 +17,16 @@
 }
 
 /* Linux bounds a blocking connect() by the send timeout. */
-int rr_peer_dial(const struct rr_endpoint *to, double timeout_s) {
+int rr_peer_dial(const struct rr_endpoint *from, const struct rr_endpoint *to, double timeout_s) {
     struct sockaddr_in a;
     rr_sockaddr(to, &a);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    struct rr_endpoint local = {.port = 0};
+    if (from) {
+        g_strlcpy(local.host, from->host, sizeof local.host);
+    }
+    int fd = from ? rr_socket_bind(&local, 0) : socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (fd < 0) {
-        return -errno;
+        return from ? fd : -errno;
     }
     rr_peer_set_timeouts(fd, timeout_s);
     if (connect(fd, (struct sockaddr *)&a, sizeof a) != 0) {
@@ -62,7 +65,7 @@
 
 /* Until len bytes are there. Waits in slices so that a stop is seen; -EIO at the end of the stream
  * or of the time. */
-static int inbox_fill(const rr_peers *p, struct inbox *in, guint len, double timeout_s) {
+static int inbox_fill(const atomic_bool *stop, struct inbox *in, guint len, double timeout_s) {
     double until = rr_now() + timeout_s;
     if (in->at > 0 && in->buf->len - in->at < len) {
         g_byte_array_remove_range(in->buf, 0, in->at);
@@ -71,7 +74,7 @@
     while (in->buf->len - in->at < len) {
         struct pollfd pf = {in->fd, POLLIN, 0};
         double left = until - rr_now();
-        if (atomic_load(p->stop) || left <= 0) {
+        if (atomic_load(stop) || left <= 0) {
             return -EIO;
         }
         int n = poll(&pf, 1, left < 2 ? (int)(left * 1000) + 1 : 2000);
@@ -90,15 +93,15 @@
 }
 
 /* The next frame's payload, in the inbox until the next call. */
-int rr_peer_receive(const rr_peers *p, struct inbox *in, uint8_t *type, rr_unpack *u,
+int rr_peer_receive(const atomic_bool *stop, struct inbox *in, uint8_t *type, rr_unpack *u,
                     double timeout_s) {
     uint32_t len = 0;
-    int rc = inbox_fill(p, in, RR_FRAME_HEAD, timeout_s);
+    int rc = inbox_fill(stop, in, RR_FRAME_HEAD, timeout_s);
     if (rc == 0) {
         rc = rr_frame_head(in->buf->data + in->at, type, &len);
     }
     if (rc == 0) {
-        rc = inbox_fill(p, in, RR_FRAME_HEAD + len, timeout_s);
+        rc = inbox_fill(stop, in, RR_FRAME_HEAD + len, timeout_s);
     }
     if (rc == 0) {
         *u = (rr_unpack){in->buf->data + in->at + RR_FRAME_HEAD, len, false};
@@ -106,9 +109,3 @@
     }
     return rc;
 }
-
-void rr_peer_put_hello(const rr_peers *p, GByteArray *b) {
-    guint at = rr_frame_begin(b, RR_FRAME_HELLO);
-    rr_frame_text(b, p->cfg->node_name);
-    rr_frame_end(b, at);
-}
--- /dev/null
+++ b/tests/processes.c
@@ -0,0 +1,113 @@
+#include "processes.h"
+#include "fakes.h"
+
+#include "app/clock.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define ARGUMENTS_MAX 16
+#define READY_WITHIN_S 60
+
+extern char **environ;
+
+static void write_seeds(GString *text, const struct controller_process *controllers, int count,
+                        int own) {
+    for (int i = 0; i < count; i++) {
+        const struct rr_config *c = &controllers[i].config;
+        if (i != own) {
+            g_string_append_printf(
+                text, "[[seeds]]\nnode_name = \"%s\"\nzone = \"%s\"\nendpoint = \"127.0.0.1:%u\"\n",
+                c->node_name, c->zone, c->peer_listen.port);
+        }
+    }
+}
+
+static void write_file(const struct controller_process *controllers, int count, int own,
+                       const struct platform *platform) {
+    const struct rr_config *c = &controllers[own].config;
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text,
+                           "node_name = \"%s\"\nzone = \"%s\"\nbind = \"127.0.0.1:%u\"\n"
+                           "peer_listen = \"127.0.0.1:%u\"\n",
+                           c->node_name, c->zone, c->bind.port, c->peer_listen.port);
+    write_seeds(text, controllers, count, own);
+    g_string_append_printf(text,
+                           "[services]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n"
+                           "[deployment]\nclock_off_ms = 10.0\n",
+                           c->cloud.port, c->state.port);
+    for (unsigned t = 0; t < platform->team_count; t++) {
+        g_string_append_printf(text, "[[deployment.teams]]\nname = \"%s\"\n", platform->teams[t]);
+    }
+    g_string_append_printf(
+        text, "[deployment.workers]\nreport_s = %.2f\nlease_s = %.2f\ncancel_s = %.2f\n",
+        platform->report_s, platform->lease_s, platform->cancel_s);
+    g_string_append(text, "[deployment.state]\nrps = 2000.0\nwrite_rps = 1000.0\nvalue_kb = 8.0\n"
+                          "txn_ops = 16\n[deployment.cloud]\nrps = 100.0\nlist_lag_s = 0.5\n"
+                          "[deployment.limits]\nram_mb = 400.0\nmax_sockets = 1000\n");
+    assert_true(g_file_set_contents(controllers[own].file, text->str, (gssize)text->len, NULL));
+    g_string_free(text, TRUE);
+}
+
+void processes_configure(world *w, const char *folder, const char *prefix, const char *zone,
+                         const struct platform *platform, struct controller_process *controllers,
+                         int count) {
+    for (int i = 0; i < count; i++) {
+        struct controller_process *own = &controllers[i];
+        char name[64];
+        g_snprintf(name, sizeof name, "%s%d", prefix, i);
+        world_config(w, &own->config, name);
+        g_strlcpy(own->config.zone, zone, sizeof own->config.zone);
+        own->config.state.port = world_add_door(w);
+        g_snprintf(own->file, sizeof own->file, "%s/%s.toml", folder, name);
+        g_snprintf(own->log, sizeof own->log, "%s/%s.log", folder, name);
+    }
+    for (int i = 0; i < count; i++) {
+        write_file(controllers, count, i, platform);
+    }
+}
+
+void process_start(struct controller_process *own, const char *program,
+                   const char *const *arguments) {
+    char *list[ARGUMENTS_MAX] = {(char *)program, "--config", own->file};
+    posix_spawn_file_actions_t actions;
+    for (int i = 0; arguments[i] && i + 4 < ARGUMENTS_MAX; i++) {
+        list[i + 3] = (char *)arguments[i];
+    }
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, own->log, O_CREAT | O_WRONLY | O_APPEND, 0600);
+    assert_int_equal(posix_spawn(&own->pid, program, &actions, NULL, list, environ), 0);
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+void process_end(struct controller_process *own, int signal) {
+    int status = 0;
+    kill(own->pid, signal);
+    assert_int_equal(waitpid(own->pid, &status, 0), own->pid);
+    own->pid = 0;
+    assert_true(signal == SIGKILL || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
+}
+
+void process_kill(struct controller_process *own) {
+    if (own->pid > 0) {
+        kill(own->pid, SIGKILL);
+        waitpid(own->pid, NULL, 0);
+        own->pid = 0;
+    }
+}
+
+void process_wait_ready(const struct controller_process *own) {
+    double until = rr_now() + READY_WITHIN_S;
+    while (world_call(&own->config, "GET", "/ready", NULL, 0, NULL) != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.05);
+    }
+}
+
+void process_remove_files(const struct controller_process *own) {
+    unlink(own->file);
+    unlink(own->log);
+}
--- a/tests/test_admission_processes.c
+++ b/tests/test_admission_processes.c
@@ -9,16 +9,13 @@
 
 #include "app/clock.h"
 #include "fair_cluster.h"
-#include "world.h"
+#include "processes.h"
 
-#include <fcntl.h>
 #include <math.h>
 #include <signal.h>
-#include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #define CONTROLLERS 3
@@ -30,8 +27,6 @@
 #define LEAST_WAIT_S 3.0 /* an interval of admission, two report intervals, and their commands */
 #define LOOK_S 0.01
 
-extern char **environ;
-
 static const char *program;
 static double submissions_s = 24;
 static bool admission = true;
@@ -56,10 +51,8 @@
 };
 
 struct process {
-    struct rr_config config; /* addresses */
-    char file[256];
+    struct controller_process controller;
     bool without; /* started without admission */
-    pid_t pid;
     unsigned accepted, refused;
 };
 
@@ -80,66 +73,10 @@
     assert_true(g_file_set_contents(path, text->str, (gssize)text->len, NULL));
 }
 
-static void write_config(const struct run *run, int i) {
-    const struct process *own = &run->controllers[i];
-    const struct rr_config *c = &own->config;
-    GString *text = g_string_new(NULL);
-    g_string_append_printf(text,
-                           "node_name = \"n%d\"\nzone = \"a\"\nbind = \"127.0.0.1:%u\"\n"
-                           "peer_listen = \"127.0.0.1:%u\"\n",
-                           i, c->bind.port, c->peer_listen.port);
-    for (int k = 0; k < CONTROLLERS; k++) {
-        if (k != i) {
-            g_string_append_printf(
-                text, "[[seeds]]\nnode_name = \"n%d\"\nzone = \"a\"\nendpoint = \"127.0.0.1:%u\"\n",
-                k, run->controllers[k].config.peer_listen.port);
-        }
-    }
-    g_string_append_printf(text,
-                           "[services]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n"
-                           "[deployment]\nclock_off_ms = 10.0\n",
-                           own->config.cloud.port, own->config.state.port);
-    for (int t = 0; t < SHORT_STREAMS; t++) { /* the first ones are of different teams */
-        g_string_append_printf(text, "[[deployment.teams]]\nname = \"%s\"\n", streams[t].team);
-    }
-    g_string_append(text, "[deployment.workers]\nreport_s = 0.5\nlease_s = 10.0\ncancel_s = 25.0\n"
-                          "[deployment.state]\nrps = 2000.0\nwrite_rps = 1000.0\nvalue_kb = 8.0\n"
-                          "txn_ops = 16\n[deployment.cloud]\nrps = 100.0\nlist_lag_s = 0.5\n"
-                          "[deployment.limits]\nram_mb = 400.0\nmax_sockets = 1000\n");
-    write_file(own->file, text);
-    g_string_free(text, TRUE);
-}
-
 static void start_process(struct run *run, int i) {
-    struct process *own = &run->controllers[i];
-    char log[300];
-    /* Without admission the list ends after the settings. */
-    char *arguments[] = {(char *)program, "--config",
-                         own->file,       admission && !own->without ? "--admission" : NULL,
-                         run->admission,  NULL};
-    posix_spawn_file_actions_t actions;
-    g_snprintf(log, sizeof log, "%s/n%d.log", run->folder, i);
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 2, log, O_CREAT | O_WRONLY | O_APPEND, 0600);
-    assert_int_equal(posix_spawn(&own->pid, program, &actions, NULL, arguments, environ), 0);
-    posix_spawn_file_actions_destroy(&actions);
-}
-
-/* An orderly end is one without a complaint, a sanitizer's included. */
-static void end_process(struct process *own, int signal) {
-    int status = 0;
-    kill(own->pid, signal);
-    assert_int_equal(waitpid(own->pid, &status, 0), own->pid);
-    own->pid = 0;
-    assert_true(signal == SIGKILL || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
-}
-
-static void wait_ready(const struct process *own) {
-    double until = rr_now() + 60;
-    while (world_call(&own->config, "GET", "/ready", NULL, 0, NULL) != 200) {
-        assert_true(rr_now() < until);
-        rr_sleep(0.05);
-    }
+    const char *with[] = {"--admission", run->admission, NULL}, *without[] = {NULL};
+    bool on = admission && !run->controllers[i].without;
+    process_start(&run->controllers[i].controller, program, on ? with : without);
 }
 
 static void start_all(struct run *run) {
@@ -150,18 +87,19 @@
     g_snprintf(run->admission, sizeof run->admission, "%s/admission.conf", run->folder);
     write_file(run->admission, text);
     g_string_free(text, TRUE);
-    for (int i = 0; i < CONTROLLERS; i++) {
-        world_config(run->w, &run->controllers[i].config, "n");
-        run->controllers[i].config.state.port = world_add_door(run->w);
-        g_snprintf(run->controllers[i].file, sizeof run->controllers[i].file, "%s/n%d.toml",
-                   run->folder, i);
+    struct controller_process list[CONTROLLERS] = {0};
+    const char *teams[SHORT_STREAMS]; /* the first ones are of different teams */
+    for (int i = 0; i < SHORT_STREAMS; i++) {
+        teams[i] = streams[i].team;
     }
+    struct platform platform = {teams, SHORT_STREAMS, 0.5, 10, 25};
+    processes_configure(run->w, run->folder, "n", "a", &platform, list, CONTROLLERS);
     for (int i = 0; i < CONTROLLERS; i++) {
-        write_config(run, i);
+        run->controllers[i].controller = list[i];
         start_process(run, i);
     }
     for (int i = 0; i < CONTROLLERS; i++) {
-        wait_ready(&run->controllers[i]);
+        process_wait_ready(&run->controllers[i].controller);
     }
 }
 
@@ -176,7 +114,7 @@
                                                 .cpu = 1,
                                                 .mem = 1});
     submission.runtime_estimate_s = TASK_S;
-    return world_submit(&to->config, &submission);
+    return world_submit(&to->controller.config, &submission);
 }
 
 /* True: this user asks no more. Retries come a second after a refusal; the stand-in's caller does
@@ -302,11 +240,7 @@
 static int end_leftovers(void **state) {
     (void)state;
     for (int i = 0; i < CONTROLLERS; i++) {
-        if (current.controllers[i].pid > 0) {
-            kill(current.controllers[i].pid, SIGKILL);
-            waitpid(current.controllers[i].pid, NULL, 0);
-            current.controllers[i].pid = 0;
-        }
+        process_kill(&current.controllers[i].controller);
     }
     return 0;
 }
@@ -328,10 +262,7 @@
 /* Only where all went well; else the logs stay. */
 static void remove_files(const struct run *run) {
     for (int i = 0; i < CONTROLLERS; i++) {
-        char log[300];
-        g_snprintf(log, sizeof log, "%s/n%d.log", run->folder, i);
-        unlink(log);
-        unlink(run->controllers[i].file);
+        process_remove_files(&run->controllers[i].controller);
     }
     unlink(run->admission);
     rmdir(run->folder);
@@ -339,7 +270,7 @@
 
 static void run_end(struct run *run) {
     for (int i = 0; i < CONTROLLERS; i++) {
-        end_process(&run->controllers[i], SIGTERM);
+        process_end(&run->controllers[i].controller, SIGTERM);
     }
     remove_files(run);
     for (guint i = 0; i < run->asking->len; i++) {
@@ -362,7 +293,7 @@
     start_all(&current);
     play_for(&current, submissions_s / 2);
     /* The second of them dies and comes back while the flood goes on. */
-    end_process(&current.controllers[1], SIGKILL);
+    process_end(&current.controllers[1].controller, SIGKILL);
     play_for(&current, 2);
     start_process(&current, 1);
     play_for(&current, submissions_s / 2 - 2);
@@ -455,14 +386,14 @@
     play_for(&current, 6);
     assert_int_equal(current.refused, 0);
     current.controllers[2].without = false;
-    end_process(&current.controllers[2], SIGTERM);
+    process_end(&current.controllers[2].controller, SIGTERM);
     start_process(&current, 2);
-    wait_ready(&current.controllers[2]);
+    process_wait_ready(&current.controllers[2].controller);
     play_until_limited(&current);
     current.controllers[2].without = true;
-    end_process(&current.controllers[2], SIGTERM);
+    process_end(&current.controllers[2].controller, SIGTERM);
     start_process(&current, 2);
-    wait_ready(&current.controllers[2]);
+    process_wait_ready(&current.controllers[2].controller);
     play_for(&current, 2);
     unsigned refused = current.refused;
     play_for(&current, 4);
--- a/tests/world.c
+++ b/tests/world.c
@@ -40,6 +40,7 @@
     uint64_t attempt;
     double ends_at; /* 0: runs until stopped */
     int standing;   /* 1 running, 2 done, 3 halted */
+    guint run;      /* index of its world_run */
 };
 
 struct world {
@@ -61,6 +62,10 @@
     double task_s;       /* how long a task runs */
     GHashTable *started; /* piece -> double*: when its first attempt started */
     unsigned restarted;  /* starts of pieces that had run or ran */
+    GArray *runs;        /* world_run */
+    char zone[RR_NAME];
+    double lease_s;     /* without an answer for so long the worker ends its tasks; 0: never */
+    double answered_at; /* a report was last answered, or a command taken */
     struct rr_endpoint reports_to;
     GArray *controllers; /* struct rr_endpoint: all that were ever configured */
     guint next;          /* of them the worker tries next */
@@ -309,7 +314,7 @@
 
 /* ---- cloud and worker ---- */
 
-static int catalog(rr_out *out) {
+static int catalog(const world *w, rr_out *out) {
     rr_build b = {.sku = "m1",
                   .vcpus = 16,
                   .cards = 4,
@@ -320,7 +325,7 @@
                   .spot_price = 1,
                   .startup_s = 1};
     b.zones = g_ptr_array_new_with_free_func(g_free);
-    g_ptr_array_add(b.zones, g_strdup("a"));
+    g_ptr_array_add(b.zones, g_strdup(w->zone));
     rr_put_map(out, 1);
     rr_put_text(out, "builds");
     rr_put_array(out, 1);
@@ -341,7 +346,7 @@
         rr_put_key_text(out, "ref", "vm-000001");
         rr_put_key_text(out, "addr", addr);
         rr_put_key_text(out, "build", "m1");
-        rr_put_key_text(out, "ward", "a");
+        rr_put_key_text(out, "ward", w->zone);
         rr_put_key_bool(out, "loaners", false);
         rr_put_key_text(out, "standing", "running");
         rr_put_key_num(out, "age_s", 1);
@@ -374,6 +379,25 @@
     g_hash_table_insert(w->started, g_strdup(piece), at);
 }
 
+static void end_task(world *w, struct task *t, int standing, double at) {
+    world_run *run = &g_array_index(w->runs, world_run, t->run);
+    t->standing = standing;
+    run->ended_at = at;
+    run->done = standing == 2;
+}
+
+/* As a worker that has no answer: its own lease ends what runs. */
+static void end_without_lease(world *w) {
+    bool lapsed = w->lease_s > 0 && rr_now() - w->answered_at > w->lease_s;
+    for (guint i = 0; lapsed && i < w->tasks->len; i++) {
+        struct task *t = &g_array_index(w->tasks, struct task, i);
+        if (t->standing == 1) {
+            bool over = t->ends_at > 0 && rr_now() > t->ends_at;
+            end_task(w, t, over ? 2 : 3, over ? t->ends_at : rr_now());
+        }
+    }
+}
+
 static void do_order(world *w, const msgpack_object *o) {
     char piece[80];
     uint64_t attempt = 0;
@@ -393,10 +417,14 @@
         g_strlcpy(fresh.piece, piece, sizeof fresh.piece);
         /* Jobs numbered from 5 are services. */
         fresh.ends_at = piece[4] == '5' ? 0 : rr_now() + w->task_s;
+        fresh.run = w->runs->len;
+        world_run run = {.started_at = rr_now()};
+        g_strlcpy(run.piece, piece, sizeof run.piece);
+        g_array_append_val(w->runs, run);
         g_array_append_val(w->tasks, fresh);
         note_start(w, piece);
     } else if (rr_text_is(rr_get(o, "verb"), "stop") && known && t->standing == 1) {
-        t->standing = 3;
+        end_task(w, t, 3, rr_now());
     } else if (rr_text_is(rr_get(o, "verb"), "reap") && known && t->standing > 1) {
         g_array_remove_index(w->tasks, at);
     }
@@ -411,7 +439,7 @@
     rr_put_key_text(out, "stone", "vm-000001");
     rr_put_key_text(out, "addr", addr);
     rr_put_key_text(out, "build", "m1");
-    rr_put_key_text(out, "ward", "a");
+    rr_put_key_text(out, "ward", w->zone);
     rr_put_key_bool(out, "loaners", false);
     rr_put_key_u64(out, "tenure", 1);
     rr_put_key_u64(out, "tally", ++w->sequence);
@@ -421,7 +449,7 @@
     for (guint i = 0; i < w->tasks->len; i++) {
         struct task *t = &g_array_index(w->tasks, struct task, i);
         if (t->standing == 1 && t->ends_at > 0 && rr_now() > t->ends_at) {
-            t->standing = 2;
+            end_task(w, t, 2, t->ends_at);
         }
         rr_put_map(out, t->standing > 1 ? 4 : 3);
         rr_put_key_text(out, "piece", t->piece);
@@ -440,6 +468,7 @@
         return false;
     }
     w->fencing_token = fencing_token;
+    w->answered_at = rr_now();
     for (uint32_t i = 0; orders && i < orders->via.array.size; i++) {
         do_order(w, &orders->via.array.ptr[i]);
     }
@@ -464,6 +493,7 @@
         bool stop = w->stopping, up = w->up && w->reports_to.port;
         struct rr_endpoint to = w->reports_to;
         expire_leases(w);
+        end_without_lease(w);
         if (up) {
             report(w, &o);
         }
@@ -504,7 +534,7 @@
     const char *from = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "from");
     const char *hold = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "hold_ms");
     if (strcmp(url, "/catalog") == 0) {
-        return catalog(out);
+        return catalog(w, out);
     }
     if (strcmp(url, "/machines") == 0) {
         return strcmp(method, "GET") == 0 ? machines(w, out) : rental(w, out);
@@ -639,6 +669,9 @@
     w->log = g_ptr_array_new_with_free_func(change_free);
     w->tasks = g_array_new(FALSE, TRUE, sizeof(struct task));
     w->task_s = 0.1;
+    w->runs = g_array_new(FALSE, TRUE, sizeof(world_run));
+    w->answered_at = rr_now();
+    g_strlcpy(w->zone, "a", sizeof w->zone);
     w->started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     w->controllers = g_array_new(FALSE, TRUE, sizeof(struct rr_endpoint));
@@ -663,6 +696,7 @@
     g_tree_destroy(w->kv);
     g_ptr_array_free(w->log, TRUE);
     g_array_free(w->tasks, TRUE);
+    g_array_free(w->runs, TRUE);
     g_array_free(w->controllers, TRUE);
     g_hash_table_destroy(w->started);
     g_hash_table_destroy(w->leases);
@@ -679,6 +713,33 @@
 SWITCH(world_freeze_watches, bool, frozen)
 SWITCH(world_store_down, bool, down)
 SWITCH(world_task_seconds, double, task_s)
+SWITCH(world_worker_lease, double, lease_s)
+
+void world_zone(world *w, const char *zone) {
+    pthread_mutex_lock(&w->lock);
+    g_strlcpy(w->zone, zone, sizeof w->zone);
+    pthread_mutex_unlock(&w->lock);
+}
+
+void world_lose_worker(world *w) {
+    pthread_mutex_lock(&w->lock);
+    for (guint i = 0; i < w->tasks->len; i++) {
+        struct task *t = &g_array_index(w->tasks, struct task, i);
+        if (t->standing == 1) {
+            end_task(w, t, 3, rr_now());
+        }
+    }
+    g_array_set_size(w->tasks, 0);
+    w->up = false;
+    pthread_mutex_unlock(&w->lock);
+}
+
+GArray *world_runs(world *w) {
+    pthread_mutex_lock(&w->lock);
+    GArray *copy = g_array_copy(w->runs);
+    pthread_mutex_unlock(&w->lock);
+    return copy;
+}
 
 void world_drop_next_answer(world *w) {
     pthread_mutex_lock(&w->lock);
--- a/tests/world.h
+++ b/tests/world.h
@@ -30,6 +30,19 @@
 unsigned world_restarted(world *w);                /* starts beyond each piece's first */
 unsigned world_rented(world *w);
 
+/* Without an answer for so long the worker ends what runs; 0 at first: never. */
+void world_worker_lease(world *w, double seconds);
+void world_zone(world *w, const char *zone); /* of its machine; "a" at first */
+/* The machine is gone, with all that ran. */
+void world_lose_worker(world *w);
+/* Every run of a task on the worker, in the order of their starts. */
+typedef struct {
+    char piece[80];
+    double started_at, ended_at; /* steady; ended_at 0: it runs */
+    bool done;
+} world_run;
+GArray *world_runs(world *w); /* a copy: world_run */
+
 uint16_t world_free_port(void);
 /* A connection of the test's own, whose reads end after 20 s; -1 if it is refused. */
 int world_dial(const struct rr_endpoint *to);
