Cells: tests of transfers between two cells, of settings, networks and messages

Found: a renewal that was not answered was repeated only after a quarter of the lease, so that a cut of 6 s ended a grant of 10; it is repeated after a second now (cut_for_a_moment).

--- a/src/cells/incoming.c
+++ b/src/cells/incoming.c
@@ -193,12 +193,14 @@
 
 static void drive_held(rr_transfers *transfers, rr_incoming *entry, double now,
                        rr_transfers_plan *plan) {
+    double lease = transfers->settings->lease_s * (1 - transfers->settings->drift);
+    bool answered = entry->guest.granted_until > entry->said_at + lease - RR_CELLS_REPEAT_S;
     double pause = transfers->settings->lease_s / RENEWALS;
     if (rr_guest_may_run(&entry->guest, now)) {
         rr_core_release_job(transfers->core, entry->local_id, entry->guest.granted_until);
     }
-    if (now - entry->said_at >=
-        fmin(pause, rr_guest_may_run(&entry->guest, now) ? pause : RR_CELLS_REPEAT_S)) {
+    /* One that was not answered is repeated soon. */
+    if (now - entry->said_at >= (answered ? pause : fmin(pause, RR_CELLS_REPEAT_S))) {
         rr_guest_step step = rr_guest_repeat(&entry->guest, now);
         say(transfers, entry, &step.message, now, plan);
     }
--- /dev/null
+++ b/tests/cell_pair.c
@@ -0,0 +1,218 @@
+#include "cell_pair.h"
+
+#include <string.h>
+
+static void on_record(void *user, const char *rest, const msgpack_object *value, uint64_t version) {
+    struct test_cell *cell = user;
+    rr_transfers_put(cell->transfers, rest, value, version);
+}
+
+static void neighbour_init(rr_cells_settings *settings, const char *name, const char *zone) {
+    rr_cell *cell = &settings->neighbours[settings->nneighbours++];
+    g_strlcpy(cell->name, name, sizeof cell->name);
+    cell->networks = rr_networks_create();
+    cell->zones = g_ptr_array_new_with_free_func(g_free);
+    cell->teams = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(cell->zones, g_strdup(zone));
+}
+
+static void cell_init(struct test_cell *cell, const char *name, const char *neighbour) {
+    cell->store = fx_store_create();
+    fx_build(cell->store, "m1", 16, 4, 64, 10, 4);
+    fx_node_init(&cell->node, cell->store, "n0");
+    cell->node.cfg.cells = true;
+    cell->settings = (rr_cells_settings){.on = true,
+                                         .lease_s = 10,
+                                         .stop_s = 5,
+                                         .begin_wait_s = 30,
+                                         .end_wait_s = 10,
+                                         .give_back_s = 60,
+                                         .guest_share = 1,
+                                         .times = {.lease_s = 10, .rest_s = 80, .drift = 0}};
+    g_strlcpy(cell->settings.name, name, sizeof cell->settings.name);
+    neighbour_init(&cell->settings, neighbour, "far");
+    cell->process = 100;
+    cell->session = 7;
+    cell->transfers =
+        rr_transfers_create(&cell->settings, &cell->node.cfg, cell->node.core, cell->process);
+    rr_core_watch_records(cell->node.core, RR_CELLS_PREFIX, on_record, cell);
+    fx_join(&cell->node, cell->session);
+}
+
+static void cell_clear(struct test_cell *cell) {
+    rr_transfers_destroy(cell->transfers);
+    rr_cells_settings_clear(&cell->settings);
+    fx_node_clear(&cell->node);
+    fx_store_destroy(cell->store);
+}
+
+cell_pair *cell_pair_create(void) {
+    cell_pair *pair = g_new0(cell_pair, 1);
+    cell_init(&pair->home, "h", "g");
+    cell_init(&pair->guest, "g", "h");
+    return pair;
+}
+
+void cell_pair_destroy(cell_pair *pair) {
+    cell_clear(&pair->home);
+    cell_clear(&pair->guest);
+    g_free(pair);
+}
+
+void cell_pair_advance(cell_pair *pair, double seconds) {
+    pair->home.node.now += seconds;
+    pair->guest.node.now += seconds;
+}
+
+void cell_restart(struct test_cell *cell, bool new_process) {
+    fx_leave(&cell->node);
+    if (new_process) {
+        double now = cell->node.now;
+        rr_transfers_destroy(cell->transfers);
+        fx_node_clear(&cell->node);
+        fx_node_init(&cell->node, cell->store, "n0");
+        cell->node.cfg.cells = true;
+        cell->node.now = now;
+        cell->process++;
+        cell->transfers =
+            rr_transfers_create(&cell->settings, &cell->node.cfg, cell->node.core, cell->process);
+        rr_core_watch_records(cell->node.core, RR_CELLS_PREFIX, on_record, cell);
+        fx_reread(cell->store, cell->node.core, now);
+    }
+    fx_join(&cell->node, ++cell->session);
+}
+
+void cell_fleet(struct test_cell *cell, int machines) {
+    cell->machines = machines;
+    fx_fleet(&cell->node, 1, machines, "a");
+}
+
+static const char *shown_state;
+
+static const char *state_of(int machine, const char *ref, uint32_t task, int shown,
+                            uint64_t sequence) {
+    (void)machine;
+    (void)ref;
+    (void)task;
+    (void)shown;
+    (void)sequence;
+    return shown_state;
+}
+
+void cell_plan_with(struct test_cell *cell, const char *job_id, const char *task_state) {
+    rr_plan plan;
+    struct fx_show show = {.first = 1,
+                           .last = cell->machines,
+                           .last_in_a = cell->machines,
+                           .refs = &job_id,
+                           .jobs = 1,
+                           .tasks = 9,
+                           .most = FX_SHOWN_MAX,
+                           .worker_epoch = 1,
+                           .sequence = 10 + ++cell->sequence,
+                           .state = state_of};
+    shown_state = task_state;
+    fx_show_jobs(&cell->node, &show);
+    fx_plan(&cell->node, &plan);
+    for (guint i = 0; i < plan.dos->len; i++) {
+        rr_core_do_result(cell->node.core, cell->node.now, g_ptr_array_index(plan.dos, i),
+                          RR_DO_ANSWERED, true);
+    }
+    rr_plan_clear(&plan);
+}
+
+void cell_plan(struct test_cell *cell, const char *job_id) {
+    cell_plan_with(cell, job_id, "running");
+}
+
+void cell_submit(struct test_cell *cell, const struct fx_job *job) {
+    fx_submit(cell->store, job, cell->node.now);
+    fx_sync(cell->store, cell->node.core, cell->node.now);
+}
+
+bool cell_job(const struct test_cell *cell, const char *job_id, rr_core_job *out) {
+    memset(out, 0, sizeof *out);
+    return rr_core_find_job(cell->node.core, job_id, out);
+}
+
+const char *cell_pair_local(const cell_pair *pair, const char *job_id, uint32_t claim) {
+    static char id[RR_ID];
+    rr_cells_local_id(pair->home.settings.name, job_id, claim, id, sizeof id);
+    return id;
+}
+
+/* ---- as the shell does ---- */
+
+static rr_transfer_message commit(struct test_cell *cell, const rr_transfer_write *write,
+                                  bool refuse) {
+    bool done = !refuse && fx_commit(cell->store, &write->txn) == 0;
+    fx_sync(cell->store, cell->node.core, cell->node.now);
+    return rr_transfers_written(cell->transfers, write, done, cell->node.now);
+}
+
+void cell_commit(struct test_cell *cell, rr_transfer_write *write) {
+    commit(cell, write, false);
+    rr_transfer_write_clear(write);
+}
+
+/* The request goes over the wire as bytes. */
+static void carry(cell_pair *pair, struct test_cell *from, struct test_cell *to,
+                  const rr_cells_request *sent) {
+    GByteArray *frame = g_byte_array_new();
+    rr_cells_request request;
+    rr_cells_request_pack(sent, frame);
+    assert_int_equal(rr_cells_request_unpack(frame->data + 8, frame->len - 8, &request), 0);
+    bool refuse = pair->refuse_commit && to == &pair->guest;
+    for (guint i = 0; i < request.items->len; i++) {
+        const rr_cells_item *item = &g_array_index(request.items, rr_cells_item, i);
+        rr_transfer_message reply;
+        rr_transfer_write write;
+        double now = to->node.now;
+        pair->offers += item->message.kind == RR_TRANSFER_OFFER;
+        if (rr_transfers_receive(to->transfers, 0, &request, item, now, now, &reply, &write)) {
+            reply = commit(to, &write, refuse);
+            rr_transfer_write_clear(&write);
+        }
+        if (!pair->lose_replies && rr_transfers_replied(from->transfers, 0, item, &reply,
+                                                        from->node.now, from->node.now, &write)) {
+            commit(from, &write, false);
+            rr_transfer_write_clear(&write);
+        }
+    }
+    rr_cells_room room = rr_transfers_room(to->transfers, to->node.now);
+    if (!pair->lose_replies) {
+        rr_transfers_room_told(from->transfers, 0, &room, from->node.now);
+    }
+    rr_cells_request_clear(&request);
+    g_byte_array_free(frame, TRUE);
+}
+
+static void look(cell_pair *pair, struct test_cell *own, struct test_cell *other) {
+    rr_transfers_plan plan;
+    bool under_way = pair->plan_under_way && own == &pair->home;
+    rr_transfers_plan_init(&plan);
+    rr_transfers_look(own->transfers, 0, !under_way, own->node.now, own->node.now, &plan);
+    for (guint i = 0; i < plan.writes->len; i++) {
+        commit(own, g_ptr_array_index(plan.writes, i), false);
+    }
+    for (guint i = 0; i < plan.requests->len; i++) {
+        if (pair->cut) {
+            rr_transfers_unanswered(own->transfers, 0, own->node.now);
+        } else {
+            carry(pair, own, other, g_ptr_array_index(plan.requests, i));
+        }
+    }
+    rr_transfers_plan_clear(&plan);
+}
+
+void cell_pair_step(cell_pair *pair) {
+    look(pair, &pair->home, &pair->guest);
+    look(pair, &pair->guest, &pair->home);
+}
+
+void cell_pair_play(cell_pair *pair, double seconds) {
+    for (int i = 0; i < (int)(2 * seconds); i++) {
+        cell_pair_advance(pair, 0.5);
+        cell_pair_step(pair);
+    }
+}
--- /dev/null
+++ b/tests/cell_pair.h
@@ -0,0 +1,50 @@
+/* Two cells in one process for the tests of transfers: a core and a scripted state service each,
+ * the package's transfers over them, and a link that can be cut or lose replies. Time is a number
+ * that the test advances. */
+#ifndef RR_TESTS_CELL_PAIR_H
+#define RR_TESTS_CELL_PAIR_H
+
+#include "fakes.h"
+
+#include "cells/transfers.h"
+
+struct test_cell {
+    fx_store *store;
+    fx_node node;
+    rr_cells_settings settings;
+    rr_transfers *transfers;
+    uint64_t process, session;
+    int machines;      /* vm-1 and so on, which report with each plan */
+    uint64_t sequence; /* of their reports */
+};
+
+typedef struct {
+    struct test_cell home, guest;
+    bool cut;            /* nothing passes */
+    bool lose_replies;   /* requests arrive, replies do not */
+    bool refuse_commit;  /* changes at the guest are not made */
+    bool plan_under_way; /* at the home */
+    unsigned offers;     /* carried so far */
+} cell_pair;
+
+cell_pair *cell_pair_create(void);
+void cell_pair_destroy(cell_pair *pair);
+void cell_pair_advance(cell_pair *pair, double seconds);
+/* One look of each at the other, with all that follows. */
+void cell_pair_step(cell_pair *pair);
+/* So many seconds, in steps of half a one. */
+void cell_pair_play(cell_pair *pair, double seconds);
+/* The cell's controller begins anew: another session, another term, nothing remembered. */
+void cell_restart(struct test_cell *cell, bool new_process);
+void cell_fleet(struct test_cell *cell, int machines);
+/* All machines report the job's tasks, as the ledger has them, in this state; one plan follows and
+ * its commands are carried out. */
+void cell_plan_with(struct test_cell *cell, const char *job_id, const char *task_state);
+void cell_plan(struct test_cell *cell, const char *job_id); /* the same: they run */
+void cell_submit(struct test_cell *cell, const struct fx_job *job);
+bool cell_job(const struct test_cell *cell, const char *job_id, rr_core_job *out);
+/* The guest's name for the job under this claim. */
+const char *cell_pair_local(const cell_pair *pair, const char *job_id, uint32_t claim);
+void cell_commit(struct test_cell *cell, rr_transfer_write *write);
+
+#endif
--- /dev/null
+++ b/tests/test_cells_settings.c
@@ -0,0 +1,272 @@
+/* Settings, networks and messages of cells: what is taken, and what is refused with its line. */
+#include "fakes.h"
+
+#include "cells/messages.h"
+#include "cells/networks.h"
+#include "cells/records.h"
+#include "cells/settings.h"
+
+#include "peer/frame.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define OWN "cell = \"a\"\ncontroller \"n0\" { endpoint = \"10.0.0.1:7000\" }\n"
+#define TO_B "controller \"m0\" { endpoint = \"10.1.0.1:7000\" }\n"
+#define CELL_B "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0/16\"}\nzones = {\"far\"}\n}\n"
+
+static int load(const char *text, rr_cells_settings *out, char *error, size_t size) {
+    struct rr_config config;
+    char name[] = "/tmp/cells-settings-XXXXXX";
+    int fd = mkstemp(name);
+    fx_config(&config, "n0");
+    assert_true(fd >= 0);
+    close(fd);
+    assert_true(g_file_set_contents(name, text, -1, NULL));
+    int rc = rr_cells_settings_load(name, &config, out, error, size);
+    unlink(name);
+    return rc;
+}
+
+static void good_settings(void **state) {
+    rr_cells_settings settings;
+    char error[320] = "";
+    (void)state;
+    assert_int_equal(load(OWN CELL_B "lease_s = 8\n", &settings, error, sizeof error), 0);
+    assert_string_equal(settings.name, "a");
+    assert_int_equal(settings.listen.port, 7000);
+    assert_int_equal(rr_cells_neighbour(&settings, "b"), 0);
+    assert_int_equal(rr_cells_neighbour(&settings, "c"), -1);
+    assert_true(settings.times.lease_s == 8);
+    assert_true(settings.times.rest_s > 60); /* a cancellation's time and more */
+    assert_true(rr_cell_takes(&settings.neighbours[0], "red", ""));
+    assert_true(rr_cell_takes(&settings.neighbours[0], "red", "far"));
+    assert_false(rr_cell_takes(&settings.neighbours[0], "red", "a"));
+    rr_cells_settings_clear(&settings);
+}
+
+/* A text, and what the line about it must say: where, and why. */
+static const struct {
+    const char *text, *where, *why;
+} bad[] = {
+    {OWN CELL_B "leese_s = 3\n", ":8:", "leese_s"},
+    {OWN CELL_B CELL_B, ":8:", "b"},
+    {OWN "neighbour \"a\" {\n" TO_B "networks = {\"10.1.0.0/16\"}\n}\n", ":6:", "itself"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0\"}\n}\n", ":5:", "CIDR"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.7/16\"}\n}\n", ":5:", "CIDR"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0/33\"}\n}\n", ":5:", "CIDR"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0/16\", \"10.1.2.0/24\"}\n}\n", ":",
+     "overlap"},
+    {OWN CELL_B "neighbour \"c\" {\n" TO_B "networks = {\"10.0.0.0/8\"}\n}\n", ":", "overlap"},
+    {OWN "neighbour \"b\" {\n" TO_B "}\n", ":", "networks"},
+    {OWN "neighbour \"b\" {\nnetworks = {\"10.1.0.0/16\"}\n}\n", ":", "controller"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0/16\"}\nzones = {\"a\"}\n}\n",
+     ":6:", "own"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0/16\"}\nzones = {\"x y\"}\n}\n",
+     ":6:", "zone"},
+    {OWN CELL_B "neighbour \"c\" {\n" TO_B "networks = {\"10.2.0.0/16\"}\nzones = {\"far\"}\n}\n",
+     ":", "zone"},
+    {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0/16\"}\nteams = {\"green\"}\n}\n",
+     ":6:", "green"},
+    {OWN "neighbour \"b\" {\ncontroller \"m0\" { endpoint = \"nowhere\" }\n}\n", ":4:", "nowhere"},
+    {OWN CELL_B "lease_s = 26\n", ":", "cancel_s"},
+    {OWN CELL_B "lease_s = 0\n", ":8:", "between"},
+    {OWN CELL_B "begin_wait_s = 5\n", ":", "begin_wait_s"},
+    {"cell = \"a\"\ncontroller \"n9\" { endpoint = \"10.0.0.1:7000\" }\n" CELL_B, ":", "node_name"},
+    {"controller \"n0\" { endpoint = \"10.0.0.1:7000\" }\n" CELL_B, ":", "cell"},
+    {OWN, ":", "neighbour"},
+    {OWN "neighbour \"b\" {\n" TO_B, ":", "closed"},
+};
+
+static void bad_settings(void **state) {
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        rr_cells_settings settings;
+        char error[320] = "";
+        int rc = load(bad[i].text, &settings, error, sizeof error);
+        if (rc != -EINVAL || !strstr(error, bad[i].where) || !strstr(error, bad[i].why)) {
+            fail_msg("case %zu: %d, \"%s\"", i, rc, error);
+        }
+        assert_null(strchr(error, '\n'));
+    }
+}
+
+static bool contains(const rr_networks *networks, const char *address) {
+    struct in_addr parsed;
+    assert_int_equal(inet_pton(AF_INET, address, &parsed), 1);
+    return rr_networks_contain(networks, &parsed);
+}
+
+static void networks(void **state) {
+    (void)state;
+    rr_networks *one = rr_networks_create(), *other = rr_networks_create();
+    assert_int_equal(rr_networks_add(one, "10.1.0.0/16"), 0);
+    assert_int_equal(rr_networks_add(one, "192.168.7.9/32"), 0);
+    assert_int_equal(rr_networks_add(one, "10.1.128.0/17"), -EEXIST);
+    assert_int_equal(rr_networks_add(one, "10.0.0.0/8"), -EEXIST);
+    assert_int_equal(rr_networks_add(one, "a/b"), -EINVAL);
+    assert_true(contains(one, "10.1.255.255") && contains(one, "192.168.7.9"));
+    assert_false(contains(one, "10.2.0.0") || contains(one, "192.168.7.8"));
+    assert_int_equal(rr_networks_add(other, "10.2.0.0/15"), 0);
+    assert_false(rr_networks_overlap(one, other));
+    assert_int_equal(rr_networks_add(other, "192.168.0.0/16"), 0);
+    assert_true(rr_networks_overlap(one, other) && rr_networks_overlap(other, one));
+    rr_networks_destroy(one);
+    rr_networks_destroy(other);
+}
+
+static void make_request(rr_cells_request *request) {
+    rr_transfer_message message = {RR_TRANSFER_RENEW, 7, RR_ANSWER_DONE, 12.5, 99};
+    rr_cells_request_init(request, RR_CELLS_TRANSFERS);
+    g_strlcpy(request->from, "a", sizeof request->from);
+    g_strlcpy(request->to, "b", sizeof request->to);
+    g_strlcpy(request->team, "red", sizeof request->team);
+    request->lease_s = 12;
+    request->rest_s = 80;
+    rr_cells_add_item(request->items, "req-1", &message);
+    message.kind = RR_TRANSFER_OFFER;
+    rr_cells_add_item(request->items, "req-2", &message);
+    rr_cells_item *offer = &g_array_index(request->items, rr_cells_item, 1);
+    offer->submission = g_byte_array_new();
+    g_byte_array_append(offer->submission, (const guint8 *)"xyz", 3);
+}
+
+static void requests_come_through(void **state) {
+    rr_cells_request sent, got;
+    GByteArray *frame = g_byte_array_new();
+    (void)state;
+    make_request(&sent);
+    rr_cells_request_pack(&sent, frame);
+    assert_int_equal(
+        rr_cells_request_unpack(frame->data + RR_FRAME_HEAD, frame->len - RR_FRAME_HEAD, &got), 0);
+    assert_string_equal(got.from, "a");
+    assert_string_equal(got.team, "red");
+    assert_true(got.lease_s == 12 && got.rest_s == 80);
+    assert_int_equal(got.items->len, 2);
+    const rr_cells_item *first = &g_array_index(got.items, rr_cells_item, 0);
+    assert_int_equal(first->message.claim, 7);
+    assert_true(first->message.sent_at == 12.5 && first->message.asker == 99);
+    assert_int_equal(g_array_index(got.items, rr_cells_item, 1).submission->len, 3);
+    rr_cells_request_clear(&sent);
+    rr_cells_request_clear(&got);
+    g_byte_array_free(frame, TRUE);
+}
+
+/* Cut anywhere, or with a byte changed, a frame is refused or read as something else, never beyond
+ * its end (the sanitizers see that). */
+static void broken_requests(void **state) {
+    rr_cells_request sent, got;
+    GByteArray *frame = g_byte_array_new();
+    GRand *random = g_rand_new_with_seed(1);
+    (void)state;
+    make_request(&sent);
+    rr_cells_request_pack(&sent, frame);
+    guint len = frame->len - RR_FRAME_HEAD;
+    for (guint cut = 0; cut < len; cut++) {
+        guint8 *copy = g_memdup2(frame->data + RR_FRAME_HEAD, cut ? cut : 1);
+        assert_int_not_equal(rr_cells_request_unpack(copy, cut, &got), 0);
+        rr_cells_request_clear(&got);
+        g_free(copy);
+    }
+    for (int i = 0; i < 20000; i++) {
+        guint8 *copy = g_memdup2(frame->data + RR_FRAME_HEAD, len);
+        copy[g_rand_int_range(random, 0, (gint32)len)] = (guint8)g_rand_int(random);
+        rr_cells_request_unpack(copy, len, &got);
+        assert_true(got.items->len <= RR_CELLS_ITEMS_MAX);
+        rr_cells_request_clear(&got);
+        g_free(copy);
+    }
+    g_rand_free(random);
+    rr_cells_request_clear(&sent);
+    g_byte_array_free(frame, TRUE);
+}
+
+/* A later version adds fields to the end; an unknown request is refused by name. */
+static void other_versions(void **state) {
+    rr_cells_request sent, got;
+    GByteArray *frame = g_byte_array_new();
+    (void)state;
+    make_request(&sent);
+    sent.version = 9;
+    rr_cells_request_pack(&sent, frame);
+    g_byte_array_append(frame, (const guint8 *)"more", 4);
+    assert_int_equal(
+        rr_cells_request_unpack(frame->data + RR_FRAME_HEAD, frame->len - RR_FRAME_HEAD, &got), 0);
+    rr_cells_request_clear(&got);
+    frame->data[RR_FRAME_HEAD] = 0;
+    assert_int_equal(
+        rr_cells_request_unpack(frame->data + RR_FRAME_HEAD, frame->len - RR_FRAME_HEAD, &got),
+        -EPROTO);
+    rr_cells_request_clear(&got);
+    frame->data[RR_FRAME_HEAD] = 1;
+    frame->data[RR_FRAME_HEAD + 1] = 77;
+    assert_int_equal(
+        rr_cells_request_unpack(frame->data + RR_FRAME_HEAD, frame->len - RR_FRAME_HEAD, &got),
+        -EPROTO);
+    rr_cells_request_clear(&got);
+    rr_cells_request_clear(&sent);
+    g_byte_array_free(frame, TRUE);
+}
+
+static void replies_come_through(void **state) {
+    rr_cells_reply sent, got;
+    GByteArray *frame = g_byte_array_new();
+    rr_transfer_message message = {RR_TRANSFER_GRANT, 3, RR_ANSWER_NONE, 4.25, 5};
+    (void)state;
+    rr_cells_reply_init(&sent);
+    sent.status = RR_CELLS_NOT_OWNER;
+    g_strlcpy(sent.owner, "m1", sizeof sent.owner);
+    sent.http_status = 503;
+    sent.retry_after_s = 2;
+    sent.room = (rr_cells_room){1.5, 0, 64};
+    g_byte_array_append(sent.body, (const guint8 *)"abc", 3);
+    rr_cells_add_item(sent.items, "req-1", &message);
+    rr_cells_reply_pack(&sent, frame);
+    const uint8_t *payload = frame->data + RR_FRAME_HEAD;
+    guint len = frame->len - RR_FRAME_HEAD;
+    assert_int_equal(rr_cells_reply_unpack(payload, len, &got), 0);
+    assert_int_equal(got.status, RR_CELLS_NOT_OWNER);
+    assert_string_equal(got.owner, "m1");
+    assert_int_equal(got.http_status, 503);
+    assert_int_equal(got.body->len, 3);
+    assert_true(got.room.cpu == 1.5 && got.room.mem == 64);
+    rr_cells_reply_clear(&got);
+    for (guint cut = 0; cut < len; cut++) {
+        guint8 *copy = g_memdup2(payload, cut ? cut : 1);
+        assert_int_not_equal(rr_cells_reply_unpack(copy, cut, &got), 0);
+        rr_cells_reply_clear(&got);
+        g_free(copy);
+    }
+    rr_cells_reply_clear(&sent);
+    g_byte_array_free(frame, TRUE);
+}
+
+/* Each claim has a name of its own, which every version gives alike. */
+static void local_names(void **state) {
+    char one[RR_ID], other[RR_ID];
+    (void)state;
+    rr_cells_local_id("a", "req-1", 1, one, sizeof one);
+    assert_true(rr_ref_valid(one));
+    assert_string_equal(one, "req-814787604127990689069");
+    rr_cells_local_id("a", "req-1", 2, other, sizeof other);
+    assert_string_not_equal(one, other);
+    rr_cells_local_id("b", "req-1", 1, other, sizeof other);
+    assert_string_not_equal(one, other);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(good_settings),
+        cmocka_unit_test(bad_settings),
+        cmocka_unit_test(networks),
+        cmocka_unit_test(requests_come_through),
+        cmocka_unit_test(broken_requests),
+        cmocka_unit_test(other_versions),
+        cmocka_unit_test(replies_come_through),
+        cmocka_unit_test(local_names),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
