Cells: jobs of a cell without controllers are claimed through its state service

Change: while a neighbour does not answer and its settings name its state service, it is read: sessions, all records, sessions again. What this cell holds of it is granted by the record itself, answers are written there, and after the time in which all that ran there has ended the other open jobs are claimed, guarded by the term, the job's record and its transfer's. A user who asks elsewhere is told a final state that stands there. The budget of that reading is a quarter of this cell's own limits.

Ruled out: guards on every session's key (up to 32, beyond a transaction's room): the term's record says the same, as no session of that term was left after it was read.

Found: a final state was looked for beside the record's value, not in it, so that no user got an answer elsewhere.

--- a/src/app/cells_duty.c
+++ b/src/app/cells_duty.c
@@ -11,14 +11,26 @@
 #include "cells/links.h"
 #include "cells/transfers.h"
 
+#include <errno.h>
 #include <math.h>
 #include <string.h>
 
 #define LOOKS 40.0 /* at the transfers in a lease */
 #define LOOK_MAX_S 0.5
+#define READINGS 6.0    /* of a neighbour's state service in a lease, while it has no controllers */
+#define READ_SHARE 0.25 /* of its limits, which are taken to be like this cell's */
+#define THERE_S 1.5
 #define DOWN_S 5.0 /* a neighbour that did not answer is taken for unreachable for so long */
 #define RELAY_RETRY_S 2
 
+/* A neighbour's state service, read while it has no controllers; its duty's own. */
+struct absent_reader {
+    rr_store *store; /* NULL: the settings name none */
+    rr_absent *absent;
+    double silent_since; /* steady, 0: its controllers answer */
+    double heartbeat_at, asked_at, read_at;
+};
+
 struct neighbour_duty {
     struct rr_app *app;
     size_t neighbour;
@@ -30,7 +42,8 @@
     rr_transfers *transfers; /* under the core's lock */
     rr_cells_links *links;
     struct neighbour_duty duties[RR_CELLS_MAX];
-    double down_until[RR_CELLS_MAX]; /* steady, under the core's lock */
+    double down_until[RR_CELLS_MAX];  /* steady, under the core's lock */
+    rr_budget *budgets[RR_CELLS_MAX]; /* for the neighbours' state services; NULL: not claimable */
 };
 
 /* Called with the core's lock held, as records come. */
@@ -78,7 +91,7 @@
     return message;
 }
 
-/* ---- the duty ---- */
+/* ---- replies ---- */
 
 static void take_replies(struct rr_app *a, rr_store *store, size_t neighbour,
                          const rr_cells_request *request, const rr_cells_reply *reply) {
@@ -105,6 +118,128 @@
     pthread_mutex_unlock(&a->lock);
 }
 
+/* ---- a neighbour without controllers ---- */
+
+static void reader_init(struct rr_app *a, size_t neighbour, struct absent_reader *reader) {
+    const rr_cell *cell = &a->cells_settings.neighbours[neighbour];
+    memset(reader, 0, sizeof *reader);
+    if (cell->claimable) {
+        reader->store = rr_store_create(&cell->state, a->cells->budgets[neighbour], &a->stop);
+        reader->absent = rr_absent_create(&a->cfg, a->cells_settings.name);
+    }
+}
+
+static void reader_clear(struct absent_reader *reader) {
+    rr_absent_destroy(reader->absent);
+    rr_store_destroy(reader->store);
+}
+
+struct page {
+    bool more;
+    char from[256];
+};
+
+/* Hands one page's rows to the reading; sessions: only counts those. -EAGAIN: not a page. */
+static int read_page(struct absent_reader *reader, const char *prefix, struct page *page,
+                     unsigned *sessions) {
+    rr_doc doc;
+    int rc = rr_store_list(reader->store, prefix, page->from[0] ? page->from : NULL, &doc);
+    if (rc != 0) {
+        return rc;
+    }
+    const msgpack_object *rows = rr_get(doc.root, "rows");
+    page->more = false;
+    rr_get_bool(doc.root, "more", &page->more);
+    bool good = rows && rows->type == MSGPACK_OBJECT_ARRAY;
+    for (uint32_t i = 0; good && i < rows->via.array.size; i++) {
+        const msgpack_object *row = &rows->via.array.ptr[i];
+        uint64_t version;
+        if (!rr_get_text(row, "path", page->from, sizeof page->from) ||
+            !rr_get_u64(row, "mark", &version) || !rr_get(row, "v")) {
+            continue;
+        }
+        if (sessions) {
+            *sessions += g_str_has_prefix(page->from, RR_ROOT "node/");
+        } else {
+            rr_absent_put(reader->absent, page->from, rr_get(row, "v"), version, rr_now());
+        }
+    }
+    rr_doc_clear(&doc);
+    return good ? 0 : -EAGAIN;
+}
+
+static int read_all(struct rr_app *a, struct absent_reader *reader, const char *prefix,
+                    unsigned *sessions) {
+    struct page page = {.more = true};
+    int rc = 0;
+    while (rc == 0 && page.more && !rr_duty_stopping(a)) {
+        rc = read_page(reader, prefix, &page, sessions);
+    }
+    return rr_duty_stopping(a) ? -ECANCELED : rc;
+}
+
+/* Sessions, all records, sessions again. False: it could not be read. */
+static bool read_absent(struct rr_app *a, struct absent_reader *reader) {
+    unsigned sessions = 0;
+    reader->asked_at = rr_now();
+    int rc = read_all(a, reader, RR_ROOT "node/", &sessions);
+    if (rc == 0 && sessions == 0) {
+        rr_absent_begin(reader->absent);
+        rc = read_all(a, reader, RR_ROOT, NULL);
+        rr_absent_end(reader->absent, rr_now());
+    }
+    if (rc == 0 && sessions == 0) {
+        rc = read_all(a, reader, RR_ROOT "node/", &sessions);
+    }
+    rr_absent_confirm(reader->absent, rc == 0 && sessions == 0, rr_now());
+    return rc == 0 && sessions == 0;
+}
+
+/* One change to the neighbour's own state service. One whose outcome is not known is read next
+ * time, and its guards keep it from being made twice. */
+static void commit_there(struct rr_app *a, struct absent_reader *reader,
+                         const rr_transfer_write *write) {
+    uint64_t revision;
+    enum rr_commit rc =
+        rr_store_commit(reader->store, RR_PRIO_USER, &write->txn, THERE_S, &revision, NULL);
+    if (rc == RR_COMMITTED) {
+        pthread_mutex_lock(&a->lock);
+        rr_transfers_absent_written(a->cells->transfers, write);
+        pthread_mutex_unlock(&a->lock);
+    }
+}
+
+static void look_absent(struct rr_app *a, rr_store *store, struct absent_reader *reader,
+                        size_t neighbour) {
+    double pause = a->cells_settings.lease_s / READINGS;
+    if (!reader->store || reader->silent_since <= 0 ||
+        rr_now() - reader->silent_since < a->cells_settings.lease_s / 2 ||
+        rr_now() - reader->read_at < pause) {
+        return;
+    }
+    reader->read_at = rr_now();
+    if (!read_absent(a, reader)) {
+        return;
+    }
+    rr_transfers_plan here;
+    GPtrArray *there = g_ptr_array_new();
+    rr_transfers_plan_init(&here);
+    pthread_mutex_lock(&a->lock);
+    rr_transfers_look_absent(a->cells->transfers, neighbour, reader->absent, reader->asked_at,
+                             rr_now(), rr_wall(), &here, there);
+    pthread_mutex_unlock(&a->lock);
+    for (guint i = 0; i < here.writes->len; i++) {
+        commit_write(a, store, g_ptr_array_index(here.writes, i));
+    }
+    for (guint i = 0; i < there->len && !rr_duty_stopping(a); i++) {
+        commit_there(a, reader, g_ptr_array_index(there, i));
+    }
+    g_ptr_array_free(there, TRUE);
+    rr_transfers_plan_clear(&here);
+}
+
+/* ---- the duty ---- */
+
 /* False: there was no answer. */
 static bool send_request(struct rr_app *a, rr_store *store, rr_cells_client *client,
                          size_t neighbour, const rr_cells_request *request) {
@@ -124,7 +259,18 @@
     return rc == 0;
 }
 
-static void look(struct rr_app *a, rr_store *store, rr_cells_client *client, size_t neighbour) {
+/* Where jobs may be claimed, it must be known whether the neighbour answers. */
+static void add_heartbeat(struct rr_app *a, size_t neighbour, rr_transfers_plan *plan) {
+    rr_cells_request *request = g_new0(rr_cells_request, 1);
+    rr_cells_request_init(request, RR_CELLS_TRANSFERS);
+    g_strlcpy(request->from, a->cells_settings.name, sizeof request->from);
+    g_strlcpy(request->to, a->cells_settings.neighbours[neighbour].name, sizeof request->to);
+    g_strlcpy(request->team, a->cfg.teams[0].name, sizeof request->team);
+    g_ptr_array_add(plan->requests, request);
+}
+
+static void look(struct rr_app *a, rr_store *store, rr_cells_client *client,
+                 struct absent_reader *reader, size_t neighbour) {
     rr_transfers_plan plan;
     rr_transfers_plan_init(&plan);
     pthread_mutex_lock(&a->lock);
@@ -133,10 +279,21 @@
     for (guint i = 0; i < plan.writes->len; i++) {
         commit_write(a, store, g_ptr_array_index(plan.writes, i));
     }
-    bool answers = true;
+    bool heartbeat = reader->store && plan.requests->len == 0 &&
+                     rr_now() - reader->heartbeat_at >= a->cells_settings.lease_s / READINGS;
+    if (heartbeat) {
+        add_heartbeat(a, neighbour, &plan);
+    }
+    bool answers = true, asked = plan.requests->len > 0;
     for (guint i = 0; i < plan.requests->len && answers && !rr_duty_stopping(a); i++) {
         answers = send_request(a, store, client, neighbour, g_ptr_array_index(plan.requests, i));
     }
+    if (asked) {
+        reader->heartbeat_at = rr_now();
+        reader->silent_since = answers                    ? 0
+                               : reader->silent_since > 0 ? reader->silent_since
+                                                          : reader->heartbeat_at;
+    }
     rr_transfers_plan_clear(&plan);
 }
 
@@ -147,10 +304,14 @@
     rr_store *store = rr_duty_open_store(a);
     rr_cells_client *client = rr_cells_client_create(&a->cells_settings, duty->neighbour, &a->stop);
     double pause = fmin(a->cells_settings.lease_s / LOOKS, LOOK_MAX_S);
+    struct absent_reader reader;
+    reader_init(a, duty->neighbour, &reader);
     while (!rr_duty_stopping(a)) {
-        look(a, store, client, duty->neighbour);
+        look(a, store, client, &reader, duty->neighbour);
+        look_absent(a, store, &reader, duty->neighbour);
         rr_duty_pause(a, pause);
     }
+    reader_clear(&reader);
     rr_cells_client_destroy(client);
     rr_store_destroy(store);
     rr_usage_leave();
@@ -263,6 +424,42 @@
     return answered;
 }
 
+/* A final state that stands in the cell's state service can't change any more: it may be told while
+ * nobody there answers. */
+static bool read_final(struct rr_app *a, size_t neighbour, const char *job_id,
+                       struct rr_response *response) {
+    const rr_cell *cell = &a->cells_settings.neighbours[neighbour];
+    char key[RR_ID + 64];
+    uint64_t version, lease, tasks = 0;
+    bool cancelled = false;
+    rr_doc doc;
+    if (!cell->claimable) {
+        return false;
+    }
+    rr_store *store = rr_store_create(&cell->state, a->cells->budgets[neighbour], &a->stop);
+    rr_core_job_key(job_id, key, sizeof key);
+    bool found = rr_store_get(store, key, &doc, &version, &lease) == 0;
+    if (found) {
+        const msgpack_object *value = rr_get(doc.root, "v");
+        bool done = rr_get(value, "final") != NULL;
+        rr_get_u64(value, "pieces", &tasks);
+        rr_get_bool(value, "cancelled", &cancelled);
+        found = done || cancelled;
+        if (found) {
+            msgpack_sbuffer_clear(&response->body.buf);
+            response->status = 200;
+            rr_put_map(&response->body, 4);
+            rr_put_key_text(&response->body, "ref", job_id);
+            rr_put_key_text(&response->body, "standing", done ? "done" : "aborted");
+            rr_put_key_u64(&response->body, "done", done ? tasks : 0);
+            rr_put_key_u64(&response->body, "running", 0);
+        }
+        rr_doc_clear(&doc);
+    }
+    rr_store_destroy(store);
+    return found;
+}
+
 /* One that knows the job answers; that none does is said only when every one was asked. */
 bool rr_app_cells_relay(struct rr_app *a, bool cancel, const char *job_id,
                         struct rr_response *response) {
@@ -277,7 +474,7 @@
     for (size_t i = 0; i < a->cells_settings.nneighbours && !known; i++) {
         g_strlcpy(request.to, a->cells_settings.neighbours[i].name, sizeof request.to);
         bool answered = relay_to(a, i, &request, response);
-        known = answered && response->status != 404;
+        known = answered ? response->status != 404 : read_final(a, i, job_id, response);
         all = all && answered;
     }
     rr_cells_request_clear(&request);
@@ -317,6 +514,17 @@
 
 /* ---- life ---- */
 
+static rr_budget *neighbour_budget(const struct rr_app *a, size_t neighbour) {
+    struct rr_shares all = {1, 1, 1, 1};
+    if (!a->cells_settings.neighbours[neighbour].claimable) {
+        return NULL;
+    }
+    rr_budget *budget =
+        rr_budget_create(READ_SHARE * a->cfg.state_rps, READ_SHARE * a->cfg.state_write_rps);
+    rr_budget_share(budget, &all);
+    return budget;
+}
+
 int rr_app_cells_start(struct rr_app *a) {
     if (!a->cfg.cells) {
         return 0;
@@ -326,6 +534,9 @@
     state->transfers = rr_transfers_create(&a->cells_settings, &a->cfg, a->core, process);
     rr_core_watch_records(a->core, RR_CELLS_PREFIX, on_record, state);
     a->cells = state;
+    for (size_t i = 0; i < a->cells_settings.nneighbours; i++) {
+        state->budgets[i] = neighbour_budget(a, i);
+    }
     int rc =
         rr_cells_links_start(&a->cells_settings, &a->stop, serve, end_context, a, &state->links);
     for (size_t i = 0; rc == 0 && i < a->cells_settings.nneighbours; i++) {
@@ -356,6 +567,9 @@
 void rr_app_cells_stop(struct rr_app *a) {
     if (a->cells) {
         rr_transfers_destroy(a->cells->transfers);
+        for (size_t i = 0; i < a->cells_settings.nneighbours; i++) {
+            rr_budget_destroy(a->cells->budgets[i]);
+        }
         g_free(a->cells);
         a->cells = NULL;
     }
@@ -378,9 +592,10 @@
            ", ended elsewhere %" G_GUINT64_FORMAT ", withdrawn %" G_GUINT64_FORMAT
            "; accepted %" G_GUINT64_FORMAT ", given back %" G_GUINT64_FORMAT
            ", lapsed %" G_GUINT64_FORMAT "; granted %" G_GUINT64_FORMAT
-           "; strangers %" G_GUINT64_FORMAT ", refused requests %" G_GUINT64_FORMAT,
+           ", claimed %" G_GUINT64_FORMAT "; strangers %" G_GUINT64_FORMAT
+           ", refused requests %" G_GUINT64_FORMAT,
            stats.spilling ? "spilling" : "not spilling", stats.outgoing, stats.incoming,
            stats.offered, stats.taken, stats.refused, stats.finished, stats.withdrawn,
-           stats.accepted, stats.given_back, stats.lapsed, stats.granted, links.strangers,
-           links.refused);
+           stats.accepted, stats.given_back, stats.lapsed, stats.granted, stats.claimed,
+           links.strangers, links.refused);
 }
--- /dev/null
+++ b/src/cells/claims.c
@@ -0,0 +1,175 @@
+/* Jobs of a neighbour that has no controllers: those that this cell holds are granted by the record
+ * itself, their answers are written there, and others are claimed. */
+#include "cells/internal.h"
+
+#include <string.h>
+
+#define CLAIMS_AT_ONCE 16u /* in one look */
+
+struct look {
+    rr_transfers *transfers;
+    size_t neighbour;
+    const rr_absent *absent;
+    double asked, now, wall;
+    rr_transfers_plan *here;
+    GPtrArray *there;
+    guint claims;
+};
+
+static void free_write(gpointer write) {
+    rr_transfer_write_clear(write);
+    g_free(write);
+}
+
+/* Takes the transaction over. */
+static void add_there(struct look *look, const char *id, bool ends_claim, const rr_txn *txn) {
+    rr_transfer_write *write = g_new0(rr_transfer_write, 1);
+    write->ends_claim = ends_claim;
+    write->txn = *txn;
+    g_strlcpy(write->id, id, sizeof write->id);
+    g_ptr_array_set_free_func(look->there, free_write);
+    g_ptr_array_add(look->there, write);
+}
+
+/* ---- what this cell holds ---- */
+
+static void receive(const struct look *look, rr_incoming *entry, enum rr_transfer_kind kind) {
+    rr_transfer_message message = {.kind = kind,
+                                   .claim = entry->guest.record.claim,
+                                   .sent_at = look->asked,
+                                   .asker = look->transfers->process};
+    rr_guest_receive(&entry->guest, &message, false, &look->transfers->settings->times);
+}
+
+static void tell_answer(struct look *look, const rr_incoming *entry) {
+    rr_txn txn;
+    rr_txn_init(&txn);
+    if (rr_absent_finish(look->absent, entry->record.job_id, &txn)) {
+        add_there(look, entry->local_id, true, &txn);
+    } else {
+        rr_txn_clear(&txn);
+    }
+}
+
+/* The copy has gone: its record there says so. */
+static void give_back(struct look *look, const rr_incoming *entry) {
+    rr_txn txn;
+    rr_txn_init(&txn);
+    if (rr_absent_give_back(look->absent, entry->record.job_id, look->wall, &txn)) {
+        add_there(look, entry->local_id, true, &txn);
+    } else {
+        rr_txn_clear(&txn);
+    }
+}
+
+static void look_at_held(struct look *look, rr_incoming *entry) {
+    if (!rr_incoming_ready(look->transfers, entry, look->now)) {
+        return;
+    }
+    if (!rr_absent_holds(look->absent, entry->record.job_id, entry->guest.record.claim)) {
+        receive(look, entry, RR_TRANSFER_VOID);
+    } else if (entry->guest.record.state == RR_GUEST_ENDED) {
+        tell_answer(look, entry);
+    } else if (entry->leaving && !entry->guest.running) {
+        give_back(look, entry);
+    } else if (!entry->leaving) {
+        receive(look, entry, RR_TRANSFER_GRANT);
+        entry->said_at = look->now;
+    }
+}
+
+void rr_transfers_absent_written(rr_transfers *transfers, const rr_transfer_write *write) {
+    rr_incoming *entry = g_hash_table_lookup(transfers->incoming, write->id);
+    if (entry && write->ends_claim) {
+        entry->guest.over = true;
+    }
+    transfers->stats.claimed += !write->ends_claim;
+}
+
+/* ---- what it may claim ---- */
+
+/* Offered to this cell by the record, and not taken yet: as if the offer had come by a link. */
+static void take_offered(struct look *look, const rr_submission *submission, double at,
+                         const rr_absent_out *out) {
+    rr_cells_request request;
+    rr_transfer_message reply, offer = {.kind = RR_TRANSFER_OFFER, .claim = out->record.claim};
+    rr_transfer_write write;
+    rr_out packed;
+    rr_cells_request_init(&request, RR_CELLS_TRANSFERS);
+    g_strlcpy(request.team, submission->team, sizeof request.team);
+    request.lease_s = look->transfers->settings->times.lease_s;
+    request.rest_s = look->transfers->settings->times.rest_s;
+    rr_cells_add_item(request.items, submission->ref, &offer);
+    rr_cells_item *item = &g_array_index(request.items, rr_cells_item, 0);
+    rr_out_init(&packed);
+    rr_core_job_encode(&packed, submission, at, false);
+    item->submission = g_byte_array_new();
+    g_byte_array_append(item->submission, (const guint8 *)packed.buf.data, (guint)packed.buf.size);
+    rr_out_clear(&packed);
+    if (rr_transfers_receive(look->transfers, look->neighbour, &request, item, look->now,
+                             look->wall, &reply, &write)) {
+        g_ptr_array_add(look->here->writes, g_memdup2(&write, sizeof write));
+    }
+    rr_cells_request_clear(&request);
+}
+
+/* Whatever ran there has ended by then. */
+static bool may_claim(const struct look *look, const rr_submission *submission) {
+    const rr_transfers *transfers = look->transfers;
+    rr_cells_room room = rr_transfers_room(look->transfers, look->now);
+    const char *why;
+    return look->claims < CLAIMS_AT_ONCE &&
+           rr_absent_for(look->absent, look->now) > transfers->settings->times.rest_s &&
+           submission->shape != RR_SERVICE && rr_room_take(&room, submission) &&
+           rr_core_admit(transfers->core, submission, &why) == RR_ADMIT_OK;
+}
+
+static void look_at_job(void *user, const rr_submission *submission, double at,
+                        const rr_absent_out *out) {
+    struct look *look = user;
+    rr_txn txn;
+    if (!rr_transfers_owns(look->transfers, submission->team, look->now)) {
+        return;
+    }
+    if (out && rr_absent_holds(look->absent, submission->ref, out->record.claim)) {
+        take_offered(look, submission, at, out);
+        return;
+    }
+    if (!may_claim(look, submission)) {
+        return;
+    }
+    rr_txn_init(&txn);
+    if (rr_absent_claim(look->absent, submission->ref, submission->team, &txn)) {
+        rr_room_take(&look->transfers->room, submission);
+        look->claims++;
+        add_there(look, submission->ref, false, &txn);
+    } else {
+        rr_txn_clear(&txn);
+    }
+}
+
+void rr_transfers_look_absent(rr_transfers *transfers, size_t neighbour, const rr_absent *absent,
+                              double asked, double now, double wall, rr_transfers_plan *here,
+                              GPtrArray *there) {
+    struct look look = {.transfers = transfers,
+                        .neighbour = neighbour,
+                        .absent = absent,
+                        .asked = asked,
+                        .now = now,
+                        .wall = wall,
+                        .here = here,
+                        .there = there};
+    GHashTableIter iterator;
+    gpointer value;
+    if (rr_absent_for(absent, now) <= 0 || !rr_core_settled(transfers->core)) {
+        return;
+    }
+    g_hash_table_iter_init(&iterator, transfers->incoming);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        rr_incoming *entry = value;
+        if (entry->neighbour == (int)neighbour) {
+            look_at_held(&look, entry);
+        }
+    }
+    rr_absent_each_open(absent, look_at_job, &look);
+}
--- a/src/cells/incoming.c
+++ b/src/cells/incoming.c
@@ -243,6 +243,11 @@
     }
 }
 
+bool rr_incoming_ready(rr_transfers *transfers, const rr_incoming *entry, double now) {
+    return rr_transfers_owns(transfers, entry->record.team, now) &&
+           entry->token == rr_core_token(transfers->core) && !entry->guest.writes;
+}
+
 void rr_incoming_look(rr_transfers *transfers, size_t neighbour, double now,
                       rr_transfers_plan *plan) {
     GHashTableIter iterator;
--- a/src/cells/internal.h
+++ b/src/cells/internal.h
@@ -74,6 +74,8 @@
                          rr_transfer_write *write);
 
 /* incoming.c */
+/* Loaded for this term, by its owner. */
+bool rr_incoming_ready(rr_transfers *transfers, const rr_incoming *entry, double now);
 void rr_incoming_put(rr_transfers *transfers, const char *local_id, const msgpack_object *value,
                      uint64_t version);
 void rr_incoming_look(rr_transfers *transfers, size_t neighbour, double now,
--- a/src/cells/outgoing.c
+++ b/src/cells/outgoing.c
@@ -93,7 +93,7 @@
     rr_txn_guard(&write->txn, key, entry->version);
     if (next->state == RR_HOME_FINAL) {
         good = next->answer != RR_ANSWER_DONE ||
-               rr_core_finish_job(transfers->core, entry->job_id, &write->txn);
+               rr_core_finish_job(transfers->core, entry->job_id, false, &write->txn);
         rr_txn_delete(&write->txn, key);
     } else {
         rr_out_record record = entry->record;
--- a/src/cells/settings.c
+++ b/src/cells/settings.c
@@ -154,7 +154,7 @@
     struct rr_endpoint endpoint;
     const char *text = cfg_opt_getnstr(option, cfg_opt_size(option) - 1);
     if (!text || rr_endpoint_parse(text, &endpoint) != 0) {
-        cfg_error(cfg, "endpoint: \"%s\" is no address and port", text ? text : "");
+        cfg_error(cfg, "%s: \"%s\" is no address and port", cfg_opt_name(option), text ? text : "");
         return -1;
     }
     return 0;
@@ -205,6 +205,8 @@
     rr_cell *cell = &out->neighbours[out->nneighbours++];
     g_strlcpy(cell->name, cfg_title(section), sizeof cell->name);
     cell->networks = rr_networks_create();
+    const char *state = cfg_getstr(section, "state");
+    cell->claimable = state && rr_endpoint_parse(state, &cell->state) == 0;
     cell->zones = read_names(section, "zones");
     cell->teams = read_names(section, "teams");
     const char *wrong = read_controllers(section, cell);
@@ -320,6 +322,7 @@
     cfg_set_validate_func(cfg, "controller|endpoint", check_endpoint);
     cfg_set_validate_func(cfg, "neighbour", check_neighbour);
     cfg_set_validate_func(cfg, "neighbour|controller|endpoint", check_endpoint);
+    cfg_set_validate_func(cfg, "neighbour|state", check_endpoint);
     cfg_set_validate_func(cfg, "neighbour|networks", check_prefix);
     cfg_set_validate_func(cfg, "neighbour|zones", check_zone);
     cfg_set_validate_func(cfg, "neighbour|teams", check_team);
@@ -330,8 +333,11 @@
     cfg_opt_t controller[] = {CFG_STR("endpoint", NULL, CFGF_NONE), CFG_END()};
     cfg_opt_t neighbour[] = {
         CFG_SEC("controller", controller, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
-        CFG_STR_LIST("networks", NULL, CFGF_NONE), CFG_STR_LIST("zones", NULL, CFGF_NONE),
-        CFG_STR_LIST("teams", NULL, CFGF_NONE), CFG_END()};
+        CFG_STR("state", NULL, CFGF_NONE),
+        CFG_STR_LIST("networks", NULL, CFGF_NONE),
+        CFG_STR_LIST("zones", NULL, CFGF_NONE),
+        CFG_STR_LIST("teams", NULL, CFGF_NONE),
+        CFG_END()};
     cfg_opt_t options[OPTIONS];
     list_options(options, controller, neighbour);
     memset(out, 0, sizeof *out);
--- a/src/cells/settings.h
+++ b/src/cells/settings.h
@@ -21,9 +21,11 @@
     char name[RR_CELL_NAME];
     rr_cell_controller controllers[RR_MAX_NODES];
     size_t ncontrollers;
-    rr_networks *networks; /* its controllers connect from there */
-    GPtrArray *zones;      /* char*: where it has machines */
-    GPtrArray *teams;      /* char*: whose jobs may go there; empty: any */
+    rr_networks *networks;    /* its controllers connect from there */
+    GPtrArray *zones;         /* char*: where it has machines */
+    GPtrArray *teams;         /* char*: whose jobs may go there; empty: any */
+    bool claimable;           /* while it has no controllers its jobs may be claimed, */
+    struct rr_endpoint state; /* by its state service */
 } rr_cell;
 
 typedef struct {
--- a/src/cells/transfers.h
+++ b/src/cells/transfers.h
@@ -8,6 +8,7 @@
 #ifndef RR_CELLS_TRANSFERS_H
 #define RR_CELLS_TRANSFERS_H
 
+#include "cells/absent.h"
 #include "cells/messages.h"
 #include "cells/records.h"
 #include "core/core.h"
@@ -27,8 +28,9 @@
 /* What is to be written for one transfer. */
 typedef struct {
     bool outgoing;
-    char id[RR_ID]; /* the job's, as this cell calls it */
-    bool ends_copy; /* cancels the copy of another cell's job: peers are to be told */
+    char id[RR_ID];  /* the job's, as this cell calls it */
+    bool ends_copy;  /* cancels the copy of another cell's job: peers are to be told */
+    bool ends_claim; /* at a cell without controllers: its record of the claim is over with it */
     rr_txn txn;
 } rr_transfer_write;
 
@@ -59,6 +61,15 @@
 bool rr_transfers_replied(rr_transfers *transfers, size_t neighbour, const rr_cells_item *asked,
                           const rr_transfer_message *reply, double now, double wall,
                           rr_transfer_write *write);
+/* The same with a neighbour that has no controllers, as its state service shows it. Changes to that
+ * one are added to `there`: rr_transfer_write*, owned by it. asked: before anything of it was read.
+ */
+void rr_transfers_look_absent(rr_transfers *transfers, size_t neighbour, const rr_absent *absent,
+                              double asked, double now, double wall, rr_transfers_plan *here,
+                              GPtrArray *there);
+/* A change there that ends a claim is made. */
+void rr_transfers_absent_written(rr_transfers *transfers, const rr_transfer_write *write);
+
 /* The free room that the neighbour told with a reply. */
 void rr_transfers_room_told(rr_transfers *transfers, size_t neighbour, const rr_cells_room *room,
                             double now);
@@ -85,6 +96,7 @@
     uint64_t finished, withdrawn;     /* by other cells; taken back */
     uint64_t accepted, given_back;    /* theirs */
     uint64_t granted, lapsed;
+    uint64_t claimed; /* of cells without controllers */
     uint64_t records_unread;
     bool spilling;
 } rr_transfers_stats;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -217,9 +217,11 @@
 bool rr_core_find_job(const rr_core *c, const char *job_id, rr_core_job *out);
 /* Who plans the team's jobs in this term: a controller's name, NULL: nobody. */
 const char *rr_core_team_owner(const rr_core *c, const char *team);
-/* Adds the job's final record, done, for a job of which nothing is placed here. False: no such job
- * is open. */
-bool rr_core_finish_job(const rr_core *c, const char *job_id, rr_txn *t);
+/* Adds the job's final record, done. False: no such job is open, or tasks of it are placed here
+ * (unless those are surely gone). */
+bool rr_core_finish_job(const rr_core *c, const char *job_id, bool placed_are_gone, rr_txn *t);
+/* Guards the record of a job that is open. False: it is not. */
+bool rr_core_guard_job(const rr_core *c, const char *job_id, rr_txn *t);
 /* Adds a record of the job that marks it cancelled. False: it is not known or final. */
 bool rr_core_abandon_job(const rr_core *c, const char *job_id, rr_txn *t);
 /* Jobs that this controller plans, of which nothing has begun; none of another cell, and no service
--- a/src/core/observe.c
+++ b/src/core/observe.c
@@ -103,12 +103,23 @@
     return job && job->mark && !job->done && !job->cancelled ? job : NULL;
 }
 
-bool rr_core_finish_job(const rr_core *c, const char *job_id, rr_txn *t) {
+bool rr_core_finish_job(const rr_core *c, const char *job_id, bool placed_are_gone, rr_txn *t) {
     const rr_job *job = open_job(c, job_id);
-    if (job && job->nplaced == 0) {
+    bool may_end = job && (job->nplaced == 0 || placed_are_gone);
+    if (may_end) {
         rr_job_final_record(job, t);
     }
-    return job && job->nplaced == 0;
+    return may_end;
+}
+
+bool rr_core_guard_job(const rr_core *c, const char *job_id, rr_txn *t) {
+    const rr_job *job = open_job(c, job_id);
+    if (job) {
+        char key[RR_ID + 64];
+        rr_core_job_key(job_id, key, sizeof key);
+        rr_txn_guard(t, key, job->own_mark);
+    }
+    return job != NULL;
 }
 
 bool rr_core_abandon_job(const rr_core *c, const char *job_id, rr_txn *t) {
--- a/tests/cell_pair.c
+++ b/tests/cell_pair.c
@@ -206,10 +206,61 @@
 }
 
 void cell_pair_step(cell_pair *pair) {
-    look(pair, &pair->home, &pair->guest);
+    if (!pair->home_dead) {
+        look(pair, &pair->home, &pair->guest);
+    }
     look(pair, &pair->guest, &pair->home);
 }
 
+void cell_pair_home_dies(cell_pair *pair) {
+    fx_leave(&pair->home.node);
+    pair->home_dead = pair->cut = true;
+}
+
+struct reading {
+    rr_absent *absent;
+    double now;
+};
+
+static void read_record(void *user, const char *key, const msgpack_object *value, uint64_t mark) {
+    const struct reading *reading = user;
+    rr_absent_put(reading->absent, key, value, mark, reading->now);
+}
+
+void cell_pair_commit_there(cell_pair *pair, GPtrArray *writes, unsigned *made) {
+    for (guint i = 0; i < writes->len; i++) {
+        const rr_transfer_write *write = g_ptr_array_index(writes, i);
+        bool done = fx_commit(pair->home.store, &write->txn) == 0;
+        *made += done;
+        if (done) {
+            rr_transfers_absent_written(pair->guest.transfers, write);
+        }
+    }
+}
+
+void cell_pair_read_home(cell_pair *pair, rr_absent *absent, GPtrArray *hold_back) {
+    double now = pair->guest.node.now;
+    struct reading reading = {absent, now};
+    rr_transfers_plan here;
+    unsigned made = 0;
+    GPtrArray *there = hold_back ? hold_back : g_ptr_array_new();
+    bool none = fx_count(pair->home.store, "rr/node/") == 0;
+    rr_absent_begin(absent);
+    fx_each(pair->home.store, read_record, &reading);
+    rr_absent_end(absent, now);
+    rr_absent_confirm(absent, none, now);
+    rr_transfers_plan_init(&here);
+    rr_transfers_look_absent(pair->guest.transfers, 0, absent, now, now, now, &here, there);
+    for (guint i = 0; i < here.writes->len; i++) {
+        commit(&pair->guest, g_ptr_array_index(here.writes, i), false);
+    }
+    if (!hold_back) {
+        cell_pair_commit_there(pair, there, &made);
+        g_ptr_array_free(there, TRUE);
+    }
+    rr_transfers_plan_clear(&here);
+}
+
 void cell_pair_play(cell_pair *pair, double seconds) {
     for (int i = 0; i < (int)(2 * seconds); i++) {
         cell_pair_advance(pair, 0.5);
--- a/tests/cell_pair.h
+++ b/tests/cell_pair.h
@@ -20,6 +20,7 @@
 
 typedef struct {
     struct test_cell home, guest;
+    bool home_dead;      /* it does nothing */
     bool cut;            /* nothing passes */
     bool lose_replies;   /* requests arrive, replies do not */
     bool refuse_commit;  /* changes at the guest are not made */
@@ -34,6 +35,12 @@
 void cell_pair_step(cell_pair *pair);
 /* So many seconds, in steps of half a one. */
 void cell_pair_play(cell_pair *pair, double seconds);
+/* The home's controllers are gone: their session is, and nothing passes. */
+void cell_pair_home_dies(cell_pair *pair);
+/* The guest reads the home's state service, looks at its jobs, and makes the changes at both, or,
+ * with hold_back, leaves those at the home to the caller. */
+void cell_pair_read_home(cell_pair *pair, rr_absent *absent, GPtrArray *hold_back);
+void cell_pair_commit_there(cell_pair *pair, GPtrArray *writes, unsigned *made);
 /* The cell's controller begins anew: another session, another term, nothing remembered. */
 void cell_restart(struct test_cell *cell, bool new_process);
 void cell_fleet(struct test_cell *cell, int machines);
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -52,6 +52,19 @@
     return ((const struct fx_change *)g_ptr_array_index(s->log, i))->mark;
 }
 
+void fx_each(const fx_store *s, fx_record_fn fn, void *user) {
+    GHashTableIter it;
+    gpointer key, value;
+    g_hash_table_iter_init(&it, s->kv);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const struct fx_value *record = value;
+        rr_doc doc;
+        assert_int_equal(rr_doc_parse(&doc, record->data, record->len), 0);
+        fn(user, key, doc.root, record->mark);
+        rr_doc_clear(&doc);
+    }
+}
+
 unsigned fx_count(const fx_store *s, const char *prefix) {
     GHashTableIter it;
     gpointer k;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -33,6 +33,10 @@
 size_t fx_value_size(const fx_store *s, const char *key); /* as JSON; 0: no such key */
 uint64_t fx_mark(const fx_store *s, const char *key);     /* 0: no such key */
 uint64_t fx_log_mark(const fx_store *s, guint i); /* revision of the i-th change ever made */
+/* Every record, in no order, as a reader gets them. */
+typedef void (*fx_record_fn)(void *user, const char *key, const msgpack_object *value,
+                             uint64_t mark);
+void fx_each(const fx_store *s, fx_record_fn fn, void *user);
 unsigned fx_count(const fx_store *s, const char *prefix);
 void fx_put(fx_store *s, const char *key, rr_out *o);   /* writes, whatever is there */
 unsigned fx_placed(const fx_store *s, const char *ref); /* bookings of a job in the ledger */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -508,6 +508,161 @@
     assert_int_equal(at_guest, 2);
 }
 
+/* ---- a home without controllers ---- */
+
+struct dead_home {
+    cell_pair *pair;
+    rr_absent *absent;
+};
+
+/* Two jobs, one of which is at the guest already; then nobody is there. */
+static struct dead_home kill_home(cell_pair *pair) {
+    spill(pair);
+    cell_submit(&pair->home, &(struct fx_job){.ref = "req-2", .cpu = 4});
+    cell_pair_home_dies(pair);
+    return (struct dead_home){pair, rr_absent_create(&pair->guest.node.cfg, "g")};
+}
+
+static void watch_home(const struct dead_home *dead, double seconds) {
+    for (int i = 0; i < (int)(seconds / 2); i++) {
+        cell_pair_play(dead->pair, 2);
+        cell_plan(&dead->pair->guest, cell_pair_local(dead->pair, JOB, 1));
+        cell_pair_read_home(dead->pair, dead->absent, NULL);
+    }
+}
+
+/* What the guest holds goes on by the record alone. */
+static void held_job_outlives_its_home(void **state) {
+    cell_pair *pair = *state;
+    rr_core_job job;
+    struct dead_home dead = kill_home(pair);
+    char local[RR_ID];
+    g_strlcpy(local, cell_pair_local(pair, JOB, 1), sizeof local);
+    watch_home(&dead, 60);
+    assert_true(cell_job(&pair->guest, local, &job) && !job.cancelled);
+    assert_int_equal(placed(&pair->guest, local), 2);
+    end_at_guest(pair, local);
+    watch_home(&dead, 10);
+    assert_int_equal(fx_count(pair->guest.store, "rr/cells/in/"), 0);
+    assert_int_equal(fx_count(pair->home.store, "rr/cells/out/"), 0);
+    cell_restart(&pair->home, true);
+    assert_true(cell_job(&pair->home, JOB, &job) && job.done);
+    rr_absent_destroy(dead.absent);
+}
+
+/* The others are claimed once whatever ran there has ended, and not before. */
+static void claimed_after_the_rest(void **state) {
+    cell_pair *pair = *state;
+    rr_core_job job;
+    struct dead_home dead = kill_home(pair);
+    char local[RR_ID];
+    rr_cells_local_id("h", "req-2", 1, local, sizeof local);
+    watch_home(&dead, 78);
+    assert_int_equal(fx_count(pair->home.store, "rr/cells/out/"), 1);
+    watch_home(&dead, 14);
+    assert_int_equal(fx_count(pair->home.store, "rr/cells/out/"), 2);
+    assert_true(cell_job(&pair->guest, local, &job));
+    assert_int_equal(placed(&pair->guest, local), 1);
+    rr_absent_destroy(dead.absent);
+}
+
+static GPtrArray *ready_to_claim(const struct dead_home *dead) {
+    GPtrArray *writes = g_ptr_array_new();
+    watch_home(dead, 82);
+    cell_pair_advance(dead->pair, 2);
+    cell_pair_read_home(dead->pair, dead->absent, writes);
+    assert_int_equal(writes->len, 1);
+    return writes;
+}
+
+/* Its controllers come back before the claim is written: that fails by the term. */
+static void home_returns_before_the_claim(void **state) {
+    cell_pair *pair = *state;
+    unsigned made = 0;
+    struct dead_home dead = kill_home(pair);
+    GPtrArray *writes = ready_to_claim(&dead);
+    cell_restart(&pair->home, true);
+    cell_pair_commit_there(pair, writes, &made);
+    assert_int_equal(made, 0);
+    cell_pair_read_home(pair, dead.absent, NULL); /* there is a session: nothing more is done */
+    assert_int_equal(fx_count(pair->home.store, "rr/cells/out/"), 1);
+    g_ptr_array_free(writes, TRUE);
+    rr_absent_destroy(dead.absent);
+}
+
+/* After it: the home finds its job away, and places it no sooner than any. */
+static void home_returns_after_the_claim(void **state) {
+    cell_pair *pair = *state;
+    unsigned made = 0;
+    rr_core_job job;
+    char local[RR_ID];
+    struct dead_home dead = kill_home(pair);
+    GPtrArray *writes = ready_to_claim(&dead);
+    cell_pair_commit_there(pair, writes, &made);
+    assert_int_equal(made, 1);
+    cell_pair_advance(pair, 2);
+    cell_pair_read_home(pair, dead.absent, NULL);
+    cell_restart(&pair->home, true);
+    pair->cut = pair->home_dead = false;
+    cell_fleet(&pair->home, 2);
+    rr_cells_local_id("h", "req-2", 1, local, sizeof local);
+    for (int i = 0; i < 30; i++) {
+        cell_pair_play(pair, 1);
+        cell_plan(&pair->home, "req-2");
+        cell_plan(&pair->guest, local);
+        assert_int_equal(placed(&pair->home, "req-2"), 0);
+    }
+    assert_true(cell_job(&pair->guest, local, &job) && !job.cancelled);
+    assert_int_equal(placed(&pair->guest, local), 1);
+    g_ptr_array_free(writes, TRUE);
+    rr_absent_destroy(dead.absent);
+}
+
+/* Two cells write their claims at the same moment: one of them is made. */
+static void two_cells_claim(void **state) {
+    cell_pair *pair = *state;
+    unsigned made = 0;
+    struct dead_home dead = kill_home(pair);
+    GPtrArray *writes = ready_to_claim(&dead);
+    rr_absent *other = rr_absent_create(&pair->guest.node.cfg, "other");
+    rr_transfer_write theirs = {.ends_claim = false};
+    rr_txn_init(&theirs.txn);
+    cell_pair_read_home(pair, other, writes);
+    assert_true(rr_absent_claim(other, "req-2", "red", &theirs.txn));
+    assert_int_equal(fx_commit(pair->home.store, &theirs.txn), 0);
+    cell_pair_commit_there(pair, writes, &made);
+    assert_int_equal(made, 0);
+    watch_home(&dead, 10);
+    assert_int_equal(fx_count(pair->guest.store, "rr/cells/in/"), 1);
+    rr_transfer_write_clear(&theirs);
+    g_ptr_array_free(writes, TRUE);
+    rr_absent_destroy(other);
+    rr_absent_destroy(dead.absent);
+}
+
+/* Its user has cancelled it meanwhile, through a controller that was there for a moment. */
+static void cancelled_job_is_not_claimed(void **state) {
+    cell_pair *pair = *state;
+    unsigned made = 0;
+    struct dead_home dead = kill_home(pair);
+    GPtrArray *writes = ready_to_claim(&dead);
+    fx_cancel(&pair->home.node, "req-2");
+    cell_pair_commit_there(pair, writes, &made);
+    assert_int_equal(made, 0);
+    g_ptr_array_free(writes, TRUE);
+    rr_absent_destroy(dead.absent);
+}
+
+/* The state service can't be read either: the guest's copy ends, as with any cut. */
+static void home_and_its_state_are_gone(void **state) {
+    cell_pair *pair = *state;
+    rr_core_job job;
+    struct dead_home dead = kill_home(pair);
+    cell_pair_play(pair, 12);
+    assert_true(cell_job(&pair->guest, cell_pair_local(pair, JOB, 1), &job) && job.cancelled);
+    rr_absent_destroy(dead.absent);
+}
+
 static void unreadable_records_are_counted(void **state) {
     cell_pair *pair = *state;
     rr_transfers_stats stats;
@@ -586,6 +741,13 @@
         PAIR(late_copy_of_an_offer),
         PAIR(claims_of_the_past),
         PAIR(load_counts_once),
+        PAIR(held_job_outlives_its_home),
+        PAIR(claimed_after_the_rest),
+        PAIR(home_returns_before_the_claim),
+        PAIR(home_returns_after_the_claim),
+        PAIR(two_cells_claim),
+        PAIR(cancelled_job_is_not_claimed),
+        PAIR(home_and_its_state_are_gone),
         PAIR(unreadable_records_are_counted),
         cmocka_unit_test(spilling_does_not_swing),
         cmocka_unit_test(refusals_are_asked_less_often),
--- a/tests/world.c
+++ b/tests/world.c
@@ -627,6 +627,10 @@
     }
 }
 
+uint16_t world_port(const world *w) {
+    return w->port;
+}
+
 uint16_t world_add_door(world *w) {
     struct sockaddr_in addr = {.sin_family = AF_INET};
     struct door *door = g_new0(struct door, 1);
