--- a/src/admission/settings.c
+++ b/src/admission/settings.c
@@ -1,19 +1,13 @@
 #include "admission/settings.h"
+#include "conf/conf.h"
 
-#include <confuse.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
-struct number {
-    const char *name;
-    double standard, least, most;
-    size_t offset;
-};
-
 #define NUMBER(field, standard, least, most)                                                       \
     { #field, standard, least, most, offsetof(rr_admission_settings, field) }
-static const struct number numbers[] = {
+static const rr_conf_number numbers[] = {
     NUMBER(interval_s, 10, 0.2, 3600),       NUMBER(enter_backlog_s, 60, 0.1, 86400),
     NUMBER(leave_backlog_s, 20, 0, 86400),   NUMBER(target_backlog_s, 30, 0.1, 86400),
     NUMBER(service_estimate_s, 600, 1, 1e7), NUMBER(patience_s, 60, 1, 3600),
@@ -25,9 +19,7 @@
 
 void rr_admission_settings_init(rr_admission_settings *settings) {
     memset(settings, 0, sizeof *settings);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        *(double *)(void *)((char *)settings + numbers[i].offset) = numbers[i].standard;
-    }
+    rr_conf_set_standards(numbers, G_N_ELEMENTS(numbers), settings);
     settings->band_limits[0] = (uint32_t)standard_bands[0];
     settings->band_limits[1] = (uint32_t)standard_bands[1];
     for (size_t i = 0; i < RR_MAX_TEAMS; i++) {
@@ -52,37 +44,8 @@
 
 /* ---- checks that libconfuse makes while it reads, so that they know the line ---- */
 
-/* libconfuse's callbacks have no user pointer; settings are read once, before any thread starts. */
-static char first_error[320];
-static const char *file_name;
-static const struct rr_config *platform;
-
-/* libconfuse takes the end of the file for the end of any section. An option that only the
- * outermost level knows, put after the text, shows a section that was not closed. */
-#define END_MARK "end_of_admission_settings"
-
-static void on_error(cfg_t *cfg, const char *format, va_list arguments) {
-    char what[200];
-    vsnprintf(what, sizeof what, format, arguments);
-    if (!first_error[0]) {
-        snprintf(first_error, sizeof first_error, "%s:%d: %s", file_name, cfg ? cfg->line : 0,
-                 strstr(what, END_MARK) ? "a section is not closed" : what);
-    }
-}
-
-static int check_number(cfg_t *cfg, cfg_opt_t *option) {
-    double value = cfg_opt_getnfloat(option, cfg_opt_size(option) - 1);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        const struct number *number = &numbers[i];
-        if (strcmp(number->name, cfg_opt_name(option)) == 0 &&
-            !(value >= number->least && value <= number->most)) {
-            cfg_error(cfg, "%s: must be between %g and %g", number->name, number->least,
-                      number->most);
-            return -1;
-        }
-    }
-    return 0;
-}
+static const struct rr_config
+    *platform; /* whose names are checked; read before any thread starts */
 
 static int check_weight(cfg_t *cfg, cfg_opt_t *option) {
     double value = cfg_opt_getnfloat(option, cfg_opt_size(option) - 1);
@@ -156,9 +119,7 @@
 /* What no single value shows. NULL: all is well. */
 static const char *read_values(cfg_t *cfg, rr_admission_settings *out) {
     double least = 0;
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        *(double *)(void *)((char *)out + numbers[i].offset) = cfg_getfloat(cfg, numbers[i].name);
-    }
+    rr_conf_read_numbers(cfg, numbers, G_N_ELEMENTS(numbers), out);
     for (unsigned i = 0; i < cfg_size(cfg, "team"); i++) {
         cfg_t *section = cfg_getnsec(cfg, "team", i);
         rr_admission_team_settings *team =
@@ -178,21 +139,6 @@
     return read_bands(cfg, out);
 }
 
-static int parse_file(cfg_t *cfg, const char *file) {
-    char *text = NULL;
-    GError *error = NULL;
-    if (!g_file_get_contents(file, &text, NULL, &error)) {
-        snprintf(first_error, sizeof first_error, "%s: can't be read: %s", file, error->message);
-        g_error_free(error);
-        return CFG_FILE_ERROR;
-    }
-    char *marked = g_strconcat(text, "\n" END_MARK " = true\n", NULL);
-    int parsed = cfg_parse_buf(cfg, marked);
-    g_free(marked);
-    g_free(text);
-    return parsed;
-}
-
 int rr_admission_settings_load(const char *file, const struct rr_config *config,
                                rr_admission_settings *out, char *error, size_t size) {
     cfg_opt_t job_class[] = {CFG_FLOAT("weight", 1, CFGF_NONE), CFG_END()};
@@ -202,36 +148,26 @@
     cfg_opt_t options[G_N_ELEMENTS(numbers) + 4];
     cfg_opt_t bands = CFG_INT_LIST("bands", "{8, 64}", CFGF_NONE), end = CFG_END();
     cfg_opt_t teams = CFG_SEC("team", team, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        cfg_opt_t number = CFG_FLOAT(NULL, 0, CFGF_NONE);
-        options[i] = number;
-        options[i].name = numbers[i].name;
-        options[i].def.fpnumber = numbers[i].standard;
-    }
+    rr_conf_list_numbers(numbers, G_N_ELEMENTS(numbers), options);
     options[G_N_ELEMENTS(numbers)] = bands;
     options[G_N_ELEMENTS(numbers) + 1] = teams;
-    cfg_opt_t mark = CFG_BOOL(END_MARK, cfg_false, CFGF_NONE);
+    cfg_opt_t mark = CFG_BOOL(RR_CONF_END_MARK, cfg_false, CFGF_NONE);
     options[G_N_ELEMENTS(numbers) + 2] = mark;
     options[G_N_ELEMENTS(numbers) + 3] = end;
     rr_admission_settings_init(out);
     platform = config;
-    file_name = file;
-    first_error[0] = 0;
     cfg_t *cfg = cfg_init(options, CFGF_NONE);
-    cfg_set_error_function(cfg, on_error);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        cfg_set_validate_func(cfg, numbers[i].name, check_number);
-    }
+    rr_conf_begin(cfg, file, numbers, G_N_ELEMENTS(numbers));
     cfg_set_validate_func(cfg, "team", check_team);
     cfg_set_validate_func(cfg, "team|weight", check_weight);
     cfg_set_validate_func(cfg, "team|least_share", check_least);
     cfg_set_validate_func(cfg, "team|class", check_class);
     cfg_set_validate_func(cfg, "team|class|weight", check_weight);
-    int parsed = parse_file(cfg, file);
-    const char *wrong = parsed == CFG_SUCCESS ? read_values(cfg, out) : NULL;
-    out->on = parsed == CFG_SUCCESS && !wrong;
-    if (parsed != CFG_SUCCESS) {
-        snprintf(error, size, "%s", first_error);
+    bool parsed = rr_conf_parse(cfg);
+    const char *wrong = parsed ? read_values(cfg, out) : NULL;
+    out->on = parsed && !wrong;
+    if (!parsed) {
+        snprintf(error, size, "%s", rr_conf_error());
     } else if (wrong) {
         snprintf(error, size, "%s: %s", file, wrong);
     }
--- a/src/cells/settings.c
+++ b/src/cells/settings.c
@@ -1,21 +1,15 @@
 #include "cells/settings.h"
 #include "app/settings.h"
+#include "conf/conf.h"
 
-#include <confuse.h>
 #include <errno.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-struct number {
-    const char *name;
-    double standard, least, most;
-    size_t offset;
-};
-
 #define NUMBER(field, standard, least, most)                                                       \
     { #field, standard, least, most, offsetof(rr_cells_settings, field) }
-static const struct number numbers[] = {
+static const rr_conf_number numbers[] = {
     NUMBER(lease_s, 12, 0.5, 3600),    NUMBER(stop_s, 5, 0.5, 600),
     NUMBER(drift, 0.001, 0, 0.1),      NUMBER(begin_wait_s, 30, 0.1, 86400),
     NUMBER(end_wait_s, 10, 0, 86400),  NUMBER(give_back_s, 30, 0.1, 86400),
@@ -56,37 +50,8 @@
 
 /* ---- checks that libconfuse makes while it reads, so that they know the line ---- */
 
-/* libconfuse's callbacks have no user pointer; settings are read once, before any thread starts. */
-static char first_error[320];
-static const char *file_name;
-static const struct rr_config *platform;
-
-/* libconfuse takes the end of the file for the end of any section. An option that only the
- * outermost level knows, put after the text, shows a section that was not closed. */
-#define END_MARK "end_of_cells_settings"
-
-static void on_error(cfg_t *cfg, const char *format, va_list arguments) {
-    char what[200];
-    vsnprintf(what, sizeof what, format, arguments);
-    if (!first_error[0]) {
-        snprintf(first_error, sizeof first_error, "%s:%d: %s", file_name, cfg ? cfg->line : 0,
-                 strstr(what, END_MARK) ? "a section is not closed" : what);
-    }
-}
-
-static int check_number(cfg_t *cfg, cfg_opt_t *option) {
-    double value = cfg_opt_getnfloat(option, cfg_opt_size(option) - 1);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        const struct number *number = &numbers[i];
-        if (strcmp(number->name, cfg_opt_name(option)) == 0 &&
-            !(value >= number->least && value <= number->most)) {
-            cfg_error(cfg, "%s: must be between %g and %g", number->name, number->least,
-                      number->most);
-            return -1;
-        }
-    }
-    return 0;
-}
+static const struct rr_config
+    *platform; /* whose names are checked; read before any thread starts */
 
 static bool plain_name(const char *name, size_t size) {
     bool plain = name[0] && strlen(name) < size;
@@ -259,9 +224,7 @@
 /* What no single value shows. false: `wrong` says what, at `line` if that is known. */
 static bool read_values(cfg_t *cfg, rr_cells_settings *out, GString *wrong, int *line) {
     const char *reason = read_own(cfg, out);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        *(double *)(void *)((char *)out + numbers[i].offset) = cfg_getfloat(cfg, numbers[i].name);
-    }
+    rr_conf_read_numbers(cfg, numbers, G_N_ELEMENTS(numbers), out);
     reason = reason ? reason : work_out_times(out);
     if (reason) {
         g_string_assign(wrong, reason);
@@ -281,44 +244,19 @@
     return reason == NULL;
 }
 
-static int parse_file(cfg_t *cfg, const char *file) {
-    char *text = NULL;
-    GError *error = NULL;
-    if (!g_file_get_contents(file, &text, NULL, &error)) {
-        snprintf(first_error, sizeof first_error, "%s: can't be read: %s", file, error->message);
-        g_error_free(error);
-        return CFG_FILE_ERROR;
-    }
-    char *marked = g_strconcat(text, "\n" END_MARK " = true\n", NULL);
-    int parsed = cfg_parse_buf(cfg, marked);
-    g_free(marked);
-    g_free(text);
-    return parsed;
-}
-
 #define OPTIONS (G_N_ELEMENTS(numbers) + 5)
 
 static void list_options(cfg_opt_t options[OPTIONS], cfg_opt_t *controller, cfg_opt_t *neighbour) {
-    size_t n = 0;
-    for (; n < G_N_ELEMENTS(numbers); n++) {
-        cfg_opt_t number = CFG_FLOAT(NULL, 0, CFGF_NONE);
-        options[n] = number;
-        options[n].name = numbers[n].name;
-        options[n].def.fpnumber = numbers[n].standard;
-    }
+    rr_conf_list_numbers(numbers, G_N_ELEMENTS(numbers), options);
     cfg_opt_t more[] = {
         CFG_STR("cell", NULL, CFGF_NONE),
         CFG_SEC("controller", controller, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
         CFG_SEC("neighbour", neighbour, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
-        CFG_BOOL(END_MARK, cfg_false, CFGF_NONE), CFG_END()};
-    memcpy(&options[n], more, sizeof more);
+        CFG_BOOL(RR_CONF_END_MARK, cfg_false, CFGF_NONE), CFG_END()};
+    memcpy(&options[G_N_ELEMENTS(numbers)], more, sizeof more);
 }
 
 static void set_checks(cfg_t *cfg) {
-    cfg_set_error_function(cfg, on_error);
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        cfg_set_validate_func(cfg, numbers[i].name, check_number);
-    }
     cfg_set_validate_func(cfg, "controller|endpoint", check_endpoint);
     cfg_set_validate_func(cfg, "neighbour", check_neighbour);
     cfg_set_validate_func(cfg, "neighbour|controller|endpoint", check_endpoint);
@@ -342,16 +280,15 @@
     list_options(options, controller, neighbour);
     memset(out, 0, sizeof *out);
     platform = config;
-    file_name = file;
-    first_error[0] = 0;
     cfg_t *cfg = cfg_init(options, CFGF_NONE);
+    rr_conf_begin(cfg, file, numbers, G_N_ELEMENTS(numbers));
     set_checks(cfg);
     GString *wrong = g_string_new(NULL);
     int line = 0;
-    bool parsed = parse_file(cfg, file) == CFG_SUCCESS;
+    bool parsed = rr_conf_parse(cfg);
     out->on = parsed && read_values(cfg, out, wrong, &line);
     if (!parsed) {
-        snprintf(error, size, "%s", first_error);
+        snprintf(error, size, "%s", rr_conf_error());
     } else if (!out->on && line > 0) {
         snprintf(error, size, "%s:%d: %s", file, line, wrong->str);
     } else if (!out->on) {
--- /dev/null
+++ b/src/conf/conf.c
@@ -0,0 +1,113 @@
+#include "conf/conf.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+static char first_error[320];
+static const char *file_name;
+static const rr_conf_number *checked;
+static size_t checked_count;
+
+static void on_error(cfg_t *cfg, const char *format, va_list arguments) {
+    char what[200];
+    vsnprintf(what, sizeof what, format, arguments);
+    if (!first_error[0]) {
+        snprintf(first_error, sizeof first_error, "%s:%d: %s", file_name, cfg ? cfg->line : 0,
+                 strstr(what, RR_CONF_END_MARK) ? "a section is not closed" : what);
+    }
+}
+
+static int check_number(cfg_t *cfg, cfg_opt_t *option) {
+    double value = cfg_opt_getnfloat(option, cfg_opt_size(option) - 1);
+    for (size_t i = 0; i < checked_count; i++) {
+        const rr_conf_number *number = &checked[i];
+        if (strcmp(number->name, cfg_opt_name(option)) == 0 &&
+            !(value >= number->least && value <= number->most)) {
+            cfg_error(cfg, "%s: must be between %g and %g", number->name, number->least,
+                      number->most);
+            return -1;
+        }
+    }
+    return 0;
+}
+
+void rr_conf_list_numbers(const rr_conf_number *numbers, size_t count, cfg_opt_t *options) {
+    for (size_t i = 0; i < count; i++) {
+        cfg_opt_t number = CFG_FLOAT(NULL, 0, CFGF_NONE);
+        options[i] = number;
+        options[i].name = numbers[i].name;
+        options[i].def.fpnumber = numbers[i].standard;
+    }
+}
+
+static double *target(const rr_conf_number *number, void *out) {
+    return (double *)(void *)((char *)out + number->offset);
+}
+
+void rr_conf_set_standards(const rr_conf_number *numbers, size_t count, void *out) {
+    for (size_t i = 0; i < count; i++) {
+        *target(&numbers[i], out) = numbers[i].standard;
+    }
+}
+
+void rr_conf_read_numbers(cfg_t *cfg, const rr_conf_number *numbers, size_t count, void *out) {
+    for (size_t i = 0; i < count; i++) {
+        *target(&numbers[i], out) = cfg_getfloat(cfg, numbers[i].name);
+    }
+}
+
+void rr_conf_begin(cfg_t *cfg, const char *file, const rr_conf_number *numbers, size_t count) {
+    file_name = file;
+    checked = numbers;
+    checked_count = count;
+    first_error[0] = 0;
+    cfg_set_error_function(cfg, on_error);
+    for (size_t i = 0; i < count; i++) {
+        cfg_set_validate_func(cfg, numbers[i].name, check_number);
+    }
+}
+
+/* libconfuse counts lines wrongly after comments from "#" or "//" to the end of a line, so those
+ * are blanked before it sees them. */
+static void blank_comments(char *text) {
+    char quote = 0;
+    bool comment = false;
+    for (char *c = text; *c; c++) {
+        if (*c == '\n') {
+            comment = false;
+        } else if (comment) {
+            *c = ' ';
+        } else if (quote) {
+            bool escaped = *c == '\\' && c[1] && c[1] != '\n';
+            quote = *c == quote ? 0 : quote;
+            c += escaped;
+        } else if (*c == '"' || *c == '\'') {
+            quote = *c;
+        } else if (*c == '#' || (*c == '/' && c[1] == '/')) {
+            comment = true;
+            *c = ' ';
+        }
+    }
+}
+
+bool rr_conf_parse(cfg_t *cfg) {
+    char *text = NULL;
+    GError *error = NULL;
+    if (!g_file_get_contents(file_name, &text, NULL, &error)) {
+        snprintf(first_error, sizeof first_error, "%s: can't be read: %s", file_name,
+                 error->message);
+        g_error_free(error);
+        return false;
+    }
+    blank_comments(text);
+    char *marked = g_strconcat(text, "\n" RR_CONF_END_MARK " = true\n", NULL);
+    int parsed = cfg_parse_buf(cfg, marked);
+    g_free(marked);
+    g_free(text);
+    return parsed == CFG_SUCCESS;
+}
+
+const char *rr_conf_error(void) {
+    return first_error;
+}
--- a/tests/cell_pair.c
+++ b/tests/cell_pair.c
@@ -99,7 +99,7 @@
     return shown_state;
 }
 
-void cell_plan_with(struct test_cell *cell, const char *job_id, const char *task_state) {
+unsigned cell_plan_with(struct test_cell *cell, const char *job_id, const char *task_state) {
     rr_plan plan;
     struct fx_show show = {.first = 1,
                            .last = cell->machines,
@@ -113,12 +113,17 @@
                            .state = state_of};
     shown_state = task_state;
     fx_show_jobs(&cell->node, &show);
+    unsigned stops = 0;
     fx_plan(&cell->node, &plan);
     for (guint i = 0; i < plan.dos->len; i++) {
-        rr_core_do_result(cell->node.core, cell->node.now, g_ptr_array_index(plan.dos, i),
-                          RR_DO_ANSWERED, true);
+        rr_do *command = g_ptr_array_index(plan.dos, i);
+        for (uint32_t task = 0; task < show.tasks; task++) {
+            stops += fx_order(&plan, command->machine, RR_STOP, job_id, task) != NULL;
+        }
+        rr_core_do_result(cell->node.core, cell->node.now, command, RR_DO_ANSWERED, true);
     }
     rr_plan_clear(&plan);
+    return stops;
 }
 
 void cell_plan(struct test_cell *cell, const char *job_id) {
@@ -193,7 +198,7 @@
     rr_transfers_plan_init(&plan);
     rr_transfers_look(own->transfers, 0, !under_way, own->node.now, own->node.now, &plan);
     for (guint i = 0; i < plan.writes->len; i++) {
-        commit(own, g_ptr_array_index(plan.writes, i), false);
+        commit(own, g_ptr_array_index(plan.writes, i), pair->refuse_commit && own == &pair->guest);
     }
     for (guint i = 0; i < plan.requests->len; i++) {
         if (pair->cut) {
--- a/tests/cell_pair.h
+++ b/tests/cell_pair.h
@@ -45,8 +45,8 @@
 void cell_restart(struct test_cell *cell, bool new_process);
 void cell_fleet(struct test_cell *cell, int machines);
 /* All machines report the job's tasks, as the ledger has them, in this state; one plan follows and
- * its commands are carried out. */
-void cell_plan_with(struct test_cell *cell, const char *job_id, const char *task_state);
+ * its commands are carried out. How many tasks of the job it stops. */
+unsigned cell_plan_with(struct test_cell *cell, const char *job_id, const char *task_state);
 void cell_plan(struct test_cell *cell, const char *job_id); /* the same: they run */
 void cell_submit(struct test_cell *cell, const struct fx_job *job);
 bool cell_job(const struct test_cell *cell, const char *job_id, rr_core_job *out);
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -57,6 +57,13 @@
 expect admission-unknown 2 "admission.conf:1: no such option" "$bin" --config "$dir/good.toml" --admission "$dir/admission.conf" --check-config
 expect admission-missing 2 none.conf "$bin" --config "$dir/good.toml" --admission "$dir/none.conf" --check-config
 expect admission-environment 2 admission.conf env RINGROCK_ADMISSION="$dir/admission.conf" "$bin" --config "$dir/good.toml" --check-config
+cells="$(dirname "$0")/../deploy/cells.conf"
+expect cells 0 fine "$bin" --config "$dir/good.toml" --cells "$cells" --check-config
+expect cells-and-admission 0 fine "$bin" --config "$dir/good.toml" --cells "$cells" --admission "$admission" --check-config
+sed 's/10.1.0.0.16/10.1.0.0/' "$cells" >"$dir/cells.conf"
+expect cells-network 2 'cells.conf:21: networks: "10.1.0.0" is no CIDR prefix' "$bin" --config "$dir/good.toml" --cells "$dir/cells.conf" --check-config
+expect cells-environment 2 cells.conf:21 env RINGROCK_CELLS="$dir/cells.conf" "$bin" --config "$dir/good.toml" --check-config
+expect cells-missing 2 none.conf "$bin" --config "$dir/good.toml" --cells "$dir/none.conf" --check-config
 { cat "$dir/good.toml"; printf '[deployment.limits]\nmax_sockets = 100\n'; } >"$dir/sockets.toml"
 expect no-sockets 2 'no room' "$bin" --config "$dir/sockets.toml" --check-config
 [ "$fails" = 0 ]
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -185,6 +185,34 @@
     assert_true(pair->home.node.now - began >= 90);
 }
 
+/* The guest's state service takes no changes: the owner stops the tasks of a lapsed copy all the
+ * same. */
+static void lapsed_copy_is_stopped_without_a_record(void **state) {
+    cell_pair *pair = *state;
+    rr_core_job job;
+    const char *local = spill(pair);
+    cell_plan(&pair->guest, local);
+    pair->cut = pair->refuse_commit = true;
+    cell_pair_play(pair, 12);
+    assert_true(cell_job(&pair->guest, local, &job) && !job.cancelled);
+    assert_int_equal(cell_plan_with(&pair->guest, local, "running"), 2);
+}
+
+/* What one term's owner knew to be over, the next one's does not. */
+static void release_ends_with_its_term(void **state) {
+    cell_pair *pair = *state;
+    rr_cells_room plenty = {100, 10, 1000};
+    wait_at_home(pair, &(struct fx_job){.ref = JOB, .pieces = 9, .cpu = 4});
+    rr_transfers_room_told(pair->home.transfers, 0, &plenty, pair->home.node.now);
+    for (int i = 0; i < 3; i++) {
+        cell_pair_step(pair); /* offered, refused, released */
+    }
+    cell_restart(&pair->home, false);
+    cell_fleet(&pair->home, 2);
+    cell_plan(&pair->home, JOB);
+    assert_int_equal(placed(&pair->home, JOB), 0);
+}
+
 static void no_room_no_offer(void **state) {
     cell_pair *pair = *state;
     wait_at_home(pair, &(struct fx_job){.ref = JOB, .pieces = 9, .cpu = 4});
@@ -719,6 +747,8 @@
         PAIR(guest_changes_owners_in_a_cut),
         PAIR(home_begins_anew),
         PAIR(taken_back_and_owners_change),
+        PAIR(lapsed_copy_is_stopped_without_a_record),
+        PAIR(release_ends_with_its_term),
         PAIR(no_room_no_offer),
         PAIR(refused_offer_is_back_at_once),
         PAIR(not_begun_goes_back),
--- a/tests/test_cells_settings.c
+++ b/tests/test_cells_settings.c
@@ -53,6 +53,8 @@
     const char *text, *where, *why;
 } bad[] = {
     {OWN CELL_B "leese_s = 3\n", ":8:", "leese_s"},
+    {"# one \"\n// two '\n" OWN CELL_B "lease_s = 8 # three\nstop_s = 0 // #\n", ":11:", "stop_s"},
+    {OWN "neighbour \"b#c\" {\n" TO_B "}\n", ":5:", "b#c"},
     {OWN CELL_B CELL_B, ":8:", "b"},
     {OWN "neighbour \"a\" {\n" TO_B "networks = {\"10.1.0.0/16\"}\n}\n", ":6:", "itself"},
     {OWN "neighbour \"b\" {\n" TO_B "networks = {\"10.1.0.0\"}\n}\n", ":5:", "CIDR"},
