--- a/src/app/app.h
+++ b/src/app/app.h
@@ -73,7 +73,9 @@
 struct rr_user_commit {
     char key[96];
     rr_out value;
-    uint64_t mark;       /* guard */
+    uint64_t mark;     /* guard */
+    char also_key[96]; /* another record that must be unchanged; empty: none */
+    uint64_t also_mark;
     double until;        /* given up after */
     pthread_cond_t done; /* finished is set */
     uint64_t epoch;
@@ -122,10 +124,19 @@
 /* A job that is not known here: what the other cells say. False: none of them knows it. */
 bool rr_app_cells_relay(struct rr_app *a, bool cancel, const char *job_id,
                         struct rr_response *response);
+/* What a neighbour says of a job of ours that it holds, added to the view. False: it can't be
+ * asked.
+ */
+bool rr_app_cells_view_away(struct rr_app *a, const char *job_id, rr_job_view *view);
 /* What stands between a cancellation and its record; begins to take the job back. Not FREE: when to
  * come back. */
 enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id, int *retry_after_s);
 
+/* Guards a cancellation by the job's transfer. False: it is away, or was a moment ago. The core's
+ * lock is held. */
+bool rr_app_cells_guard_cancel(const struct rr_app *a, const char *job_id,
+                               struct rr_user_commit *u);
+
 /* handlers.c */
 void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs);
 void rr_app_refuse(struct rr_response *rs, int status, const char *why, int retry_after_s);
--- a/src/app/batch.c
+++ b/src/app/batch.c
@@ -27,12 +27,14 @@
     size_t size = json_size(u), most = (size_t)(rr_value_kb(cfg) * 1024) - 64;
     bool joins = u->accepts && b->open > 0 && b->open + size <= most;
     guint records = b->records + !joins;
+    guint guards = b->n + 1 + records + b->more_guards + (u->also_key[0] != 0);
     if (b->n == RR_BATCH_MAX || batch_has(b, u->key) || records > (guint)rr_txn_ops(cfg) ||
-        b->bytes + size > BATCH_BYTES || b->n + 1 + records > 4 * (guint)rr_txn_ops(cfg)) {
+        b->bytes + size > BATCH_BYTES || guards > 4 * (guint)rr_txn_ops(cfg)) {
         return b->n == 0;
     }
     b->open = joins ? b->open + size : u->accepts ? size : b->open;
     b->records = records;
+    b->more_guards += u->also_key[0] != 0;
     b->bytes += size + 100;
     b->joins[b->n] = joins;
     b->entries[b->n++] = u;
@@ -73,6 +75,9 @@
     for (guint i = 0; i < b->n; i++) {
         struct rr_user_commit *u = b->entries[i];
         rr_txn_guard(t, u->key, u->mark);
+        if (u->also_key[0]) {
+            rr_txn_guard(t, u->also_key, u->also_mark);
+        }
         if (!u->accepts) {
             put_alone(t, u);
             continue;
--- a/src/app/batch.h
+++ b/src/app/batch.h
@@ -11,6 +11,7 @@
     struct rr_user_commit *entries[RR_BATCH_MAX];
     bool joins[RR_BATCH_MAX]; /* goes into the record of the new job before it */
     guint n, records;         /* entries; changes that they make */
+    guint more_guards;        /* beyond one an entry */
     size_t bytes, open;       /* of all; of the record being filled, 0: none */
 };
 
--- a/src/app/cells_duty.c
+++ b/src/app/cells_duty.c
@@ -486,6 +486,51 @@
     return known || !all;
 }
 
+/* What the guest says of its copy, as far as it may change: tasks that are done there count only
+ * when the home has recorded the end. */
+static bool read_away(const rr_cells_reply *reply, rr_job_view *view) {
+    rr_doc doc;
+    char standing[32] = "";
+    uint64_t running = 0;
+    if (reply->status != RR_CELLS_OK || reply->http_status != 200 ||
+        rr_doc_parse(&doc, reply->body->data, reply->body->len) != 0) {
+        return reply->status == RR_CELLS_OK && reply->http_status == 404; /* not taken yet */
+    }
+    rr_get_text(doc.root, "standing", standing, sizeof standing);
+    rr_get_u64(doc.root, "running", &running);
+    if (strcmp(standing, "running") == 0) {
+        view->standing = "running";
+        view->nrunning = (uint32_t)running;
+    }
+    rr_doc_clear(&doc);
+    return true;
+}
+
+bool rr_app_cells_view_away(struct rr_app *a, const char *job_id, rr_job_view *view) {
+    rr_cells_request request;
+    rr_cells_reply reply;
+    size_t neighbour = 0;
+    if (!a->cells) {
+        return true;
+    }
+    rr_cells_request_init(&request, RR_CELLS_POLL);
+    pthread_mutex_lock(&a->lock);
+    bool away = rr_transfers_away(a->cells->transfers, job_id, &neighbour, request.job_id,
+                                  sizeof request.job_id);
+    pthread_mutex_unlock(&a->lock);
+    bool told = !away;
+    if (away && reachable(a, neighbour)) {
+        g_strlcpy(request.from, a->cells_settings.name, sizeof request.from);
+        g_strlcpy(request.to, a->cells_settings.neighbours[neighbour].name, sizeof request.to);
+        rr_cells_client *client = rr_cells_client_create(&a->cells_settings, neighbour, &a->stop);
+        told = rr_cells_ask(client, &request, &reply) == 0 && read_away(&reply, view);
+        rr_cells_reply_clear(&reply);
+        rr_cells_client_destroy(client);
+    }
+    rr_cells_request_clear(&request);
+    return told;
+}
+
 enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id, int *retry_after_s) {
     rr_transfer_write write;
     double wait_s = 0;
@@ -512,6 +557,15 @@
     return first;
 }
 
+bool rr_app_cells_guard_cancel(const struct rr_app *a, const char *job_id,
+                               struct rr_user_commit *u) {
+    if (!a->cells) {
+        return true;
+    }
+    rr_cells_out_key(job_id, u->also_key, sizeof u->also_key);
+    return rr_transfers_may_cancel(a->cells->transfers, job_id, rr_wall(), &u->also_mark);
+}
+
 /* ---- life ---- */
 
 static rr_budget *neighbour_budget(const struct rr_app *a, size_t neighbour) {
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -191,6 +191,8 @@
         rr_app_refuse(rs, 503, "state not reachable", 1);
     } else if (!v.known) {
         rr_app_refuse(rs, 404, "no such job", 0);
+    } else if (!v.done && !v.aborted && !rr_app_cells_view_away(a, ref, &v)) {
+        rr_app_refuse(rs, 503, "the cell that has the job is not reachable", 1);
     } else {
         rs->status = 200;
         rr_put_map(&rs->body, 4);
@@ -220,9 +222,12 @@
     rr_core_job_key(ref, u.key, sizeof u.key);
     pthread_mutex_lock(&a->lock);
     bool open = rr_core_cancel_record(a->core, ref, &u.value, &u.mark);
+    bool here = !open || rr_app_cells_guard_cancel(a, ref, &u);
     pthread_mutex_unlock(&a->lock);
     bool answered = true;
-    if (!open) {
+    if (!here) {
+        rr_app_refuse(rs, 503, "another cell may still run the job", 1);
+    } else if (!open) {
         if (!view_behind_barrier(a, ref, &v)) {
             rr_app_refuse(rs, 503, "state not reachable", 1);
         } else if (!v.known) {
--- a/src/app/users_duty.c
+++ b/src/app/users_duty.c
@@ -58,7 +58,8 @@
         u->epoch = epoch;
         u->doubted = u->doubted || rc == RR_DOUBT;
         /* A conflict names its keys; the others of the batch go again. */
-        bool again = rc == RR_CONFLICT && n > 1 && !listed(failed, u->key);
+        bool again = rc == RR_CONFLICT && n > 1 && !listed(failed, u->key) &&
+                     !(u->also_key[0] && listed(failed, u->also_key));
         again =
             again || ((rc == RR_REFUSED || rc == RR_INVALID || rc == RR_DOUBT) && now < u->until);
         if (again && !rr_duty_stopping(a)) {
--- a/src/cells/claims.c
+++ b/src/cells/claims.c
@@ -120,7 +120,7 @@
     const char *why;
     return look->claims < CLAIMS_AT_ONCE &&
            rr_absent_for(look->absent, look->now) > transfers->settings->times.rest_s &&
-           submission->shape != RR_SERVICE && rr_room_take(&room, submission) &&
+           rr_room_take(&room, submission) &&
            rr_core_admit(transfers->core, submission, &why) == RR_ADMIT_OK;
 }
 
--- a/src/cells/incoming.c
+++ b/src/cells/incoming.c
@@ -336,7 +336,7 @@
     work_out_room(transfers, now);
     /* In pieces the room may still be too small: then the job does not begin, and goes back. */
     return times_agree(transfers, request) && has_room(transfers) &&
-           strcmp(submission->team, request->team) == 0 && submission->shape != RR_SERVICE &&
+           strcmp(submission->team, request->team) == 0 &&
            rr_core_admit(transfers->core, submission, &why) == RR_ADMIT_OK &&
            rr_room_take(&transfers->room, submission);
 }
@@ -407,9 +407,6 @@
     if (g_hash_table_contains(transfers->incoming, local_id)) {
         return false; /* repeated: it is held, or being taken */
     }
-    if (rr_core_job_known(transfers->core, local_id)) {
-        *reply = (rr_transfer_message){.kind = RR_TRANSFER_REFUSE, .claim = item->message.claim};
-        return false; /* a late copy: this claim was over */
-    }
+    /* A late copy names a claim that was over: its copy is known, and not admitted again. */
     return take(transfers, neighbour, request, item, local_id, now, wall, reply, write);
 }
--- a/src/cells/outgoing.c
+++ b/src/cells/outgoing.c
@@ -91,6 +91,10 @@
     rr_core_guard_term(transfers->core, &write->txn);
     rr_cells_out_key(entry->job_id, key, sizeof key);
     rr_txn_guard(&write->txn, key, entry->version);
+    if (next->state == RR_HOME_OFFERED) {
+        /* Its user may have cancelled it, and this mirror not know. */
+        good = rr_core_guard_job(transfers->core, entry->job_id, &write->txn);
+    }
     if (next->state == RR_HOME_FINAL) {
         good = next->answer != RR_ANSWER_DONE ||
                rr_core_finish_job(transfers->core, entry->job_id, false, &write->txn);
@@ -407,7 +411,19 @@
     return step.action == RR_HOME_WRITE && make_write(transfers, entry, wall, write);
 }
 
-/* ---- users' cancellations ---- */
+/* ---- users' requests ---- */
+
+bool rr_transfers_away(const rr_transfers *transfers, const char *job_id, size_t *neighbour,
+                       char *local_id, size_t size) {
+    const rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, job_id);
+    if (!entry || entry->version == 0 || entry->record.state != RR_HOME_OFFERED ||
+        entry->neighbour < 0) {
+        return false;
+    }
+    *neighbour = (size_t)entry->neighbour;
+    rr_cells_local_id(transfers->settings->name, job_id, entry->record.claim, local_id, size);
+    return true;
+}
 
 /* How long after a job was taken back a grant may last: one given by a controller that did not know
  * yet, by the clocks of two machines. */
@@ -417,21 +433,35 @@
            2 * transfers->config->clock_off_s;
 }
 
-enum rr_cancel_first rr_transfers_cancel(const rr_transfers *transfers, const char *job_id,
-                                         double wall, double *wait_s, rr_transfer_write *write) {
-    const rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, job_id);
+static enum rr_cancel_first cancel_state(const rr_transfers *transfers, const rr_outgoing *entry,
+                                         double wall, double *wait_s) {
+    double lasts = grants_last_s(transfers);
     *wait_s = 0;
     if (!entry) {
         return RR_CANCEL_FREE;
     }
-    double lasts = grants_last_s(transfers);
     if (entry->version > 0 && entry->record.state != RR_HOME_OFFERED) {
         *wait_s = fmin(entry->record.withdrawn_at + lasts - wall, lasts);
         return *wait_s > 0 ? RR_CANCEL_WAIT : RR_CANCEL_FREE;
     }
     *wait_s = lasts;
-    if (entry->version == 0) {
-        return RR_CANCEL_WAIT; /* it is being offered */
+    return entry->version == 0 ? RR_CANCEL_WAIT : RR_CANCEL_WITHDRAW; /* 0: it is being offered */
+}
+
+bool rr_transfers_may_cancel(const rr_transfers *transfers, const char *job_id, double wall,
+                             uint64_t *version) {
+    const rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, job_id);
+    double wait_s;
+    *version = entry ? entry->version : 0;
+    return cancel_state(transfers, entry, wall, &wait_s) == RR_CANCEL_FREE;
+}
+
+enum rr_cancel_first rr_transfers_cancel(const rr_transfers *transfers, const char *job_id,
+                                         double wall, double *wait_s, rr_transfer_write *write) {
+    const rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, job_id);
+    enum rr_cancel_first first = cancel_state(transfers, entry, wall, wait_s);
+    if (first != RR_CANCEL_WITHDRAW) {
+        return first;
     }
     char key[RR_ID + 64];
     rr_out packed;
--- a/src/cells/transfers.h
+++ b/src/cells/transfers.h
@@ -81,12 +81,20 @@
 /* Whether the team's messages may be answered here: this controller plans it, surely still. */
 bool rr_transfers_speaks_for(const rr_transfers *transfers, const char *team, double now);
 
+/* Whether a job of this cell is at a neighbour, which, and what it is called there. */
+bool rr_transfers_away(const rr_transfers *transfers, const char *job_id, size_t *neighbour,
+                       char *local_id, size_t size);
+
 /* What stands between a user's cancellation and its record. */
 enum rr_cancel_first {
     RR_CANCEL_FREE,     /* nothing */
     RR_CANCEL_WITHDRAW, /* *write: the job is taken back first */
     RR_CANCEL_WAIT      /* grants may last yet for *wait_s */
 };
+/* Whether a cancellation may be recorded now, if the transfer's record has this version still (0:
+ * there is none). A mirror that lags may not know that the job was offered. */
+bool rr_transfers_may_cancel(const rr_transfers *transfers, const char *job_id, double wall,
+                             uint64_t *version);
 enum rr_cancel_first rr_transfers_cancel(const rr_transfers *transfers, const char *job_id,
                                          double wall, double *wait_s, rr_transfer_write *write);
 
--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -80,7 +80,9 @@
             *c = ' ';
         } else if (quote) {
             bool escaped = *c == '\\' && c[1] && c[1] != '\n';
-            quote = *c == quote ? 0 : quote;
+            if (*c == quote) {
+                quote = 0;
+            }
             c += escaped;
         } else if (*c == '"' || *c == '\'') {
             quote = *c;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -224,8 +224,8 @@
 bool rr_core_guard_job(const rr_core *c, const char *job_id, rr_txn *t);
 /* Adds a record of the job that marks it cancelled. False: it is not known or final. */
 bool rr_core_abandon_job(const rr_core *c, const char *job_id, rr_txn *t);
-/* Jobs that this controller plans, of which nothing has begun; none of another cell, and no service
- * (docs/cells.md). at: wall, when accepted. */
+/* Jobs that this controller plans, of which nothing has begun; none of another cell. at: wall, when
+ * accepted. */
 typedef void (*rr_core_spillable_fn)(void *user, const rr_submission *submission, double at);
 void rr_core_each_spillable(const rr_core *c, double now, rr_core_spillable_fn fn, void *user);
 /* Every controller of the term keeps the holds below. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -156,8 +156,7 @@
 void rr_core_each_spillable(const rr_core *c, double now, rr_core_spillable_fn fn, void *user) {
     for (guint i = 0; i < c->open->len; i++) {
         const rr_job *j = g_ptr_array_index(c->open, i);
-        if (waits(c, j, now) && j->nplaced == 0 && j->ndone == 0 && j->s.shape != RR_SERVICE &&
-            !rr_job_of_another_cell(c, j)) {
+        if (waits(c, j, now) && j->nplaced == 0 && j->ndone == 0 && !rr_job_of_another_cell(c, j)) {
             fn(user, &j->s, j->at);
         }
     }
