Session read under its lock; libcidr given room before a name; ports of tests not from the system's range

Cause: three faults that the sanitizers showed in test_cells_processes and test_cells_settings. The committer read the session's lease without the lock under which it is written (a race from before cells). libcidr looks for the ends of long names before the beginning of short ones. The tests' free ports came from the range for outgoing connections, so that one was taken before its controller listened: 'claimed' failed once under each sanitizer by that.

Change: the lease is taken with the batch; prefixes are copied behind some blanks; ports of tests lie below the range. Rounds move no task of a job that is held (found by reading).

Measured: core, batch, cells, settings and frames, 17 of 17 plain; lint clean.

--- a/src/app/users_duty.c
+++ b/src/app/users_duty.c
@@ -25,7 +25,8 @@
     }
 }
 
-static void take_batch(struct rr_app *a, struct rr_user_batch *b) {
+/* Also the session by which the batch's key is unique. */
+static uint64_t take_batch(struct rr_app *a, struct rr_user_batch *b) {
     memset(b, 0, sizeof *b);
     pthread_mutex_lock(&a->user_lock);
     while (!rr_duty_stopping(a) && g_queue_is_empty(&a->commits)) {
@@ -36,7 +37,9 @@
            rr_user_batch_add(&a->cfg, b, g_queue_peek_head(&a->commits)) && b->n > 0) {
         g_queue_pop_head(&a->commits);
     }
+    uint64_t tether = a->tether;
     pthread_mutex_unlock(&a->user_lock);
+    return tether;
 }
 
 static bool listed(const GPtrArray *failed, const char *key) {
@@ -77,14 +80,14 @@
     rr_store *s = rr_duty_open_store(a);
     struct rr_user_batch b;
     while (!rr_duty_stopping(a)) {
-        take_batch(a, &b);
+        uint64_t tether = take_batch(a, &b);
         if (b.n == 0) {
             continue;
         }
         rr_txn t;
         rr_txn_init(&t);
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
-        rr_user_batch_txn(&b, a->tether, &a->batches, &t);
+        rr_user_batch_txn(&b, tether, &a->batches, &t);
         uint64_t epoch = 0;
         double began = rr_now();
         enum rr_commit rc = rr_store_commit(s, RR_PRIO_USER, &t, 1.0, &epoch, failed);
--- a/src/cells/networks.c
+++ b/src/cells/networks.c
@@ -51,8 +51,24 @@
     return same;
 }
 
+#define PREFIX_MAX 64
+#define BEFORE                                                                                     \
+    16 /* libcidr looks for the ends of long names, before the beginning of short ones             \
+        */
+
+static CIDR *parse(const char *prefix) {
+    char padded[BEFORE + PREFIX_MAX];
+    size_t len = strlen(prefix);
+    if (len >= PREFIX_MAX || !strchr(prefix, '/')) {
+        return NULL;
+    }
+    memset(padded, ' ', BEFORE);
+    memcpy(padded + BEFORE, prefix, len + 1);
+    return cidr_from_str(padded + BEFORE);
+}
+
 int rr_networks_add(rr_networks *networks, const char *prefix) {
-    CIDR *parsed = strchr(prefix, '/') ? cidr_from_str(prefix) : NULL;
+    CIDR *parsed = parse(prefix);
     if (!parsed) {
         return -EINVAL;
     }
--- a/src/core/rounds.c
+++ b/src/core/rounds.c
@@ -20,7 +20,7 @@
     const rr_job *j = p->job;
     if (j->s.shape != RR_SERVICE || j->cancelled || j->done || p->evict || !j->placed ||
         p->task >= j->s.pieces || j->placed[p->task] != 1 || j->team < 0 ||
-        !rr_owns_team(c, j->team) || !rr_machine_usable(c, m, now)) {
+        !rr_owns_team(c, j->team) || !rr_machine_usable(c, m, now) || rr_job_held(c, j, now)) {
         return false;
     }
     const rr_piece *r = rr_piece_find(m, p);
--- a/tests/world.c
+++ b/tests/world.c
@@ -783,15 +783,27 @@
     return n;
 }
 
-uint16_t world_free_port(void) {
-    struct sockaddr_in a = {.sin_family = AF_INET};
-    socklen_t n = sizeof a;
-    inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+/* Below the system's own range for outgoing connections (32768 and up): one taken from there was
+ * given to a connection before the controller that was to listen on it had started. */
+#define PORTS_FROM 10240u
+#define PORTS 20000u
+
+static bool port_is_free(uint16_t port) {
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(port)};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert(bind(fd, (struct sockaddr *)&a, sizeof a) == 0);
-    g_assert(getsockname(fd, (struct sockaddr *)&a, &n) == 0);
+    bool is_free = bind(fd, (struct sockaddr *)&a, sizeof a) == 0;
     close(fd);
-    return ntohs(a.sin_port);
+    return is_free;
+}
+
+uint16_t world_free_port(void) {
+    static unsigned next; /* tests that run side by side begin at different ones */
+    next = next ? next : (unsigned)getpid() * 131;
+    uint16_t port;
+    do {
+        port = (uint16_t)(PORTS_FROM + next++ % PORTS);
+    } while (!port_is_free(port));
+    return port;
 }
 
 int world_dial(const struct rr_endpoint *to) {
