Cells by processes: cancellations at a cell that knows nothing of the job

Change: users cancel at any cell, and one job is cancelled at a cell that does not know it; one that no cell knows gets 404.

--- a/tests/test_cells_processes.c
+++ b/tests/test_cells_processes.c
@@ -267,10 +267,14 @@
     job->aborted = job->aborted || aborted;
 }
 
-/* A user who cancels asks again until it is confirmed. */
+/* A user who cancels asks again until it is confirmed; at any cell, where there are several. */
 static void try_cancel(struct job *job) {
     char standing[32];
-    int status = ask(job->home, "POST", job->id, "/cancel", standing, NULL);
+    int cell = cells_on ? g_rand_int_range(run.random, 0, CELLS) : job->home;
+    if (run.cells[cell].dead) {
+        return;
+    }
+    int status = ask(cell, "POST", job->id, "/cancel", standing, NULL);
     assert_true(status == 200 || status == 503 || status == -1);
     if (status == 200) {
         job->wants_cancel = false;
@@ -450,12 +454,32 @@
 
 /* ---- the tests ---- */
 
+/* At a cell that knows nothing of the job. */
+static void cancel_elsewhere(void) {
+    char standing[32];
+    double until = rr_now() + 20;
+    submit(0);
+    struct job *job = g_ptr_array_index(run.jobs, run.jobs->len - 1);
+    job->wants_cancel = false;
+    while (ask(2, "POST", job->id, "/cancel", standing, NULL) != 200) {
+        assert_true(rr_now() < until);
+        rr_sleep(0.2);
+    }
+    poll_at(job, 0);
+    assert_true(job->aborted || job->done);
+    job->cancelled_at = job->aborted ? rr_now() : 0;
+    assert_int_equal(ask(2, "POST", "req-777", "/cancel", standing, NULL), 404);
+}
+
 static void four_cells(void **state) {
     (void)state;
     for (unsigned seed = first_seed; seed < first_seed + seeds; seed++) {
         run_begin(seed);
         submit_for(submissions_s);
         double settle_s = ask_until_settled();
+        if (cells_on) {
+            cancel_elsewhere();
+        }
         struct findings found = check_all();
         report("four cells", seed, &found, settle_s);
         assert_int_equal(found.done + found.aborted, found.jobs);
