Settings are freed where they are only checked; an offer that is not written leaves nothing

And on reading: an offer for which nothing was written would have left an entry that holds up the job's cancellation; no path to it is known.

Change: main() clears both settings; such an entry is forgotten.

--- a/src/app/main.c
+++ b/src/app/main.c
@@ -143,6 +143,8 @@
         rr_log_node(app->cfg.node_name);
         rc = serve(app);
     }
+    rr_admission_settings_clear(&app->admission_settings);
+    rr_cells_settings_clear(&app->cells_settings);
     g_free(app);
 end:
     g_free(o.config);
--- a/src/cells/outgoing.c
+++ b/src/cells/outgoing.c
@@ -120,12 +120,15 @@
     return good;
 }
 
-static void add_write(rr_transfers *transfers, rr_outgoing *entry, double wall,
+/* False: there was nothing to write after all. */
+static bool add_write(rr_transfers *transfers, rr_outgoing *entry, double wall,
                       rr_transfers_plan *plan) {
     rr_transfer_write write;
-    if (make_write(transfers, entry, wall, &write)) {
+    bool writes = make_write(transfers, entry, wall, &write);
+    if (writes) {
         g_ptr_array_add(plan->writes, g_memdup2(&write, sizeof write));
     }
+    return writes;
 }
 
 rr_transfer_message rr_outgoing_written(rr_transfers *transfers, const rr_transfer_write *write,
@@ -304,12 +307,16 @@
         return;
     }
     rr_home_step step = rr_home_offer(&entry->home, (uint32_t)neighbour, now);
+    bool offered = false;
     if (step.action == RR_HOME_WRITE) {
         entry->taken = false;
         entry->heard_at = now;
         entry->said_at = 0;
         rr_core_hold_job(transfers->core, entry->job_id, RR_HOLD_AWAY);
-        add_write(transfers, entry, wall, plan);
+        offered = add_write(transfers, entry, wall, plan);
+    }
+    if (!offered && entry->version == 0) {
+        forget(transfers, entry->job_id);
     }
 }
 
