--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -272,8 +272,11 @@
 static void waiting_cell_takes_nothing(void **state) {
     cell_pair *pair = *state;
     wait_at_home(pair, &waiting);
-    cell_submit(&pair->guest, &(struct fx_job){.ref = "req-2", .cpu = 16, .pieces = 9});
-    cell_pair_advance(pair, 11); /* longer than end_wait_s */
+    cell_submit(&pair->guest, &(struct fx_job){.ref = "req-2", .cpu = 1, .zone = "far"});
+    cell_pair_advance(pair, 11); /* longer than end_wait_s; there is room beside it */
+    pair->cut = true;
+    cell_pair_step(pair); /* it has looked at its own */
+    pair->cut = false;
     cell_pair_play(pair, 10);
     assert_int_equal(pair->offers, 0);
 }
