One place for what cells wrote again: offers, records, pages of the store, listeners

Cause: read once more, the change had written anew what stood already, or the same thing twice.

Change, nothing of what is done: an offer's job is packed by rr_cells_add_offer (was in outgoing.c, claims.c and a test); a transfer's record is changed by rr_cells_out_write and taken back by rr_cells_out_withdrawn (outgoing, absent, users' cancellations). A withdrawal goes through the users' committer like their other changes, in place of a client of its own for each request; it now comes to this mirror by the watch. The store's pages are read by rr_store_next_page and rr_store_each_row, for the mirror and for a neighbour without controllers. rr_app_tell_cancelled, rr_socket_listen, live_session, rr_admission_counts_s and rr_core_cancel_record serve where each had a twin. An unused parameter goes, and the question for status 201 stands in the branch that can answer so.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -139,10 +139,6 @@
     return true;
 }
 
-static double stale_s(const rr_admission *admission) {
-    return (1 + RR_ADMISSION_STALE_INTERVALS) * admission->settings->interval_s;
-}
-
 static rr_admission_verdict conservative(rr_admission *admission, const rr_submission *submission,
                                          unsigned controllers) {
     rr_admission_verdict verdict = {RR_ADMISSION_ADMIT, 0};
@@ -164,7 +160,8 @@
     if (!standing->all_able) {
         return verdict;
     }
-    bool stale = !standing->entitled || standing->cache_age_s > stale_s(admission);
+    bool stale = !standing->entitled ||
+                 standing->cache_age_s > rr_admission_counts_s(admission->settings->interval_s);
     if (!stale) {
         verdict = rr_admission_decide(&tables, wall, admission->config->clock_off_s, &key,
                                       submission->ref);
--- a/src/admission/verdict.c
+++ b/src/admission/verdict.c
@@ -70,7 +70,7 @@
     rr_admission_verdict verdict = {RR_ADMISSION_ADMIT, 0};
     const rr_admission_table *table = rr_admission_in_force(tables, wall);
     if (table && table->active &&
-        wall > table->starts_at + (1 + RR_ADMISSION_STALE_INTERVALS) * table->length_s) {
+        wall > table->starts_at + rr_admission_counts_s(table->length_s)) {
         verdict.kind = RR_ADMISSION_STALE;
         return verdict;
     }
--- a/src/admission/verdict.h
+++ b/src/admission/verdict.h
@@ -11,7 +11,11 @@
 #include "admission/table.h"
 
 #define RR_ADMISSION_STALE_INTERVALS 3 /* a table is used so long after its interval */
-#define RR_RETRY_AFTER_MAX_S 30        /* PROTOCOL's bound */
+/* How long a table counts, from its beginning. */
+static inline double rr_admission_counts_s(double interval_s) {
+    return (1 + RR_ADMISSION_STALE_INTERVALS) * interval_s;
+}
+#define RR_RETRY_AFTER_MAX_S 30 /* PROTOCOL's bound */
 
 enum rr_admission_kind {
     RR_ADMISSION_ADMIT,
--- a/src/app/admission_duty.c
+++ b/src/app/admission_duty.c
@@ -289,7 +289,7 @@
     pthread_mutex_lock(&state->lock);
     const rr_admission_table *table = rr_admission_table_at(state->admission, wall);
     bool fresh = table && table->active && rr_core_all_admit(a->core) &&
-                 wall < table->starts_at + (1 + RR_ADMISSION_STALE_INTERVALS) * table->length_s;
+                 wall < table->starts_at + rr_admission_counts_s(table->length_s);
     uint64_t rooms_of = fresh ? table->sequence : 0;
     if (fresh && rooms_of != state->rooms_of) {
         tell_rooms(a, table);
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -128,9 +128,10 @@
  * asked.
  */
 bool rr_app_cells_view_away(struct rr_app *a, const char *job_id, rr_job_view *view);
-/* What stands between a cancellation and its record; begins to take the job back. Not FREE: when to
- * come back. */
-enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id, int *retry_after_s);
+/* What stands between a cancellation and its record. Not FREE: when to come back; WITHDRAW: *u is
+ * to be committed, which takes the job back. */
+enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id,
+                                         struct rr_user_commit *u, int *retry_after_s);
 
 /* Guards a cancellation by the job's transfer. False: it is away, or was a moment ago. The core's
  * lock is held. */
@@ -139,6 +140,8 @@
 
 /* handlers.c */
 void rr_app_handle(void *user, const struct rr_request *rq, struct rr_response *rs);
+/* A cancellation that is confirmed: the other controllers stop the job's tasks in their answers. */
+void rr_app_tell_cancelled(struct rr_app *a, const char *ref);
 void rr_app_refuse(struct rr_response *rs, int status, const char *why, int retry_after_s);
 /* A user's requests for a job, answered by what this cell alone knows. */
 void rr_app_poll_here(struct rr_app *a, const char *ref, struct rr_response *rs);
--- a/src/app/cells_duty.c
+++ b/src/app/cells_duty.c
@@ -56,15 +56,12 @@
 
 /* ---- changes ---- */
 
-/* The other controllers stop the tasks of a copy in their answers, too. */
+/* All controllers stop the tasks of a copy in their answers. */
 static void tell_end_of_copy(struct rr_app *a, const char *local_id) {
     pthread_mutex_lock(&a->lock);
     rr_core_cancel_hint(a->core, local_id, rr_now());
-    bool able = rr_core_peers_able(a->core);
     pthread_mutex_unlock(&a->lock);
-    if (able) {
-        rr_peers_cancelled(a->peers, local_id, rr_now() + a->cfg.cancel_s);
-    }
+    rr_app_tell_cancelled(a, local_id);
 }
 
 static rr_transfer_message commit_write(struct rr_app *a, rr_store *store,
@@ -82,7 +79,7 @@
         rr_app_wait_epoch(a, revision, now + 1);
     }
     rr_transfer_message message =
-        rr_transfers_written(a->cells->transfers, write, rc == RR_COMMITTED, now);
+        rr_transfers_written(a->cells->transfers, write, rc == RR_COMMITTED);
     rr_app_kick(a);
     pthread_mutex_unlock(&a->lock);
     if (rc != RR_COMMITTED) {
@@ -134,46 +131,28 @@
     rr_store_destroy(reader->store);
 }
 
-struct page {
-    bool more;
-    char from[256];
-};
+static void count_session(void *user, const char *key, const msgpack_object *value,
+                          uint64_t version) {
+    (void)value;
+    (void)version;
+    *(unsigned *)user += g_str_has_prefix(key, RR_ROOT "node/");
+}
 
-/* Hands one page's rows to the reading; sessions: only counts those. -EAGAIN: not a page. */
-static int read_page(struct absent_reader *reader, const char *prefix, struct page *page,
-                     unsigned *sessions) {
-    rr_doc doc;
-    int rc = rr_store_list(reader->store, prefix, page->from[0] ? page->from : NULL, &doc);
-    if (rc != 0) {
-        return rc;
-    }
-    const msgpack_object *rows = rr_get(doc.root, "rows");
-    page->more = false;
-    rr_get_bool(doc.root, "more", &page->more);
-    bool good = rows && rows->type == MSGPACK_OBJECT_ARRAY;
-    for (uint32_t i = 0; good && i < rows->via.array.size; i++) {
-        const msgpack_object *row = &rows->via.array.ptr[i];
-        uint64_t version;
-        if (!rr_get_text(row, "path", page->from, sizeof page->from) ||
-            !rr_get_u64(row, "mark", &version) || !rr_get(row, "v")) {
-            continue;
-        }
-        if (sessions) {
-            *sessions += g_str_has_prefix(page->from, RR_ROOT "node/");
-        } else {
-            rr_absent_put(reader->absent, page->from, rr_get(row, "v"), version, rr_now());
-        }
-    }
-    rr_doc_clear(&doc);
-    return good ? 0 : -EAGAIN;
+static void put_record(void *user, const char *key, const msgpack_object *value, uint64_t version) {
+    rr_absent_put(user, key, value, version, rr_now());
 }
 
 static int read_all(struct rr_app *a, struct absent_reader *reader, const char *prefix,
-                    unsigned *sessions) {
-    struct page page = {.more = true};
+                    rr_store_row_fn fn, void *user) {
+    rr_store_cursor cursor = {.more = true};
     int rc = 0;
-    while (rc == 0 && page.more && !rr_duty_stopping(a)) {
-        rc = read_page(reader, prefix, &page, sessions);
+    while (rc == 0 && cursor.more && !rr_duty_stopping(a)) {
+        rr_doc doc;
+        rc = rr_store_next_page(reader->store, prefix, &cursor, &doc);
+        if (rc == 0) {
+            rr_store_each_row(&doc, &cursor, fn, user);
+            rr_doc_clear(&doc);
+        }
     }
     return rr_duty_stopping(a) ? -ECANCELED : rc;
 }
@@ -182,14 +161,14 @@
 static bool read_absent(struct rr_app *a, struct absent_reader *reader) {
     unsigned sessions = 0;
     reader->asked_at = rr_now();
-    int rc = read_all(a, reader, RR_ROOT "node/", &sessions);
+    int rc = read_all(a, reader, RR_ROOT "node/", count_session, &sessions);
     if (rc == 0 && sessions == 0) {
         rr_absent_begin(reader->absent);
-        rc = read_all(a, reader, RR_ROOT, NULL);
+        rc = read_all(a, reader, RR_ROOT, put_record, reader->absent);
         rr_absent_end(reader->absent, rr_now());
     }
     if (rc == 0 && sessions == 0) {
-        rc = read_all(a, reader, RR_ROOT "node/", &sessions);
+        rc = read_all(a, reader, RR_ROOT "node/", count_session, &sessions);
     }
     rr_absent_confirm(reader->absent, rc == 0 && sessions == 0, rr_now());
     return rc == 0 && sessions == 0;
@@ -263,8 +242,7 @@
 static void add_heartbeat(struct rr_app *a, size_t neighbour, rr_transfers_plan *plan) {
     rr_cells_request *request = g_new0(rr_cells_request, 1);
     rr_cells_request_init(request, RR_CELLS_TRANSFERS);
-    g_strlcpy(request->from, a->cells_settings.name, sizeof request->from);
-    g_strlcpy(request->to, a->cells_settings.neighbours[neighbour].name, sizeof request->to);
+    rr_cells_request_address(request, &a->cells_settings, neighbour);
     g_strlcpy(request->team, a->cfg.teams[0].name, sizeof request->team);
     g_ptr_array_add(plan->requests, request);
 }
@@ -400,6 +378,15 @@
     return up;
 }
 
+/* One question, on a connection of its own. *reply is to be cleared in any case. */
+static int ask_once(struct rr_app *a, size_t neighbour, const rr_cells_request *request,
+                    rr_cells_reply *reply) {
+    rr_cells_client *client = rr_cells_client_create(&a->cells_settings, neighbour, &a->stop);
+    int rc = rr_cells_ask(client, request, reply);
+    rr_cells_client_destroy(client);
+    return rc;
+}
+
 /* True: the cell has answered, and knows the job or not. */
 static bool relay_to(struct rr_app *a, size_t neighbour, const rr_cells_request *request,
                      struct rr_response *response) {
@@ -407,8 +394,7 @@
     if (!reachable(a, neighbour)) {
         return false;
     }
-    rr_cells_client *client = rr_cells_client_create(&a->cells_settings, neighbour, &a->stop);
-    int rc = rr_cells_ask(client, request, &reply);
+    int rc = ask_once(a, neighbour, request, &reply);
     bool answered = rc == 0 && reply.status == RR_CELLS_OK && reply.http_status > 0;
     if (rc != 0) {
         note_answer(a, neighbour, false);
@@ -420,7 +406,6 @@
         msgpack_sbuffer_write(&response->body.buf, (const char *)reply.body->data, reply.body->len);
     }
     rr_cells_reply_clear(&reply);
-    rr_cells_client_destroy(client);
     return answered;
 }
 
@@ -469,10 +454,9 @@
         return false;
     }
     rr_cells_request_init(&request, cancel ? RR_CELLS_CANCEL : RR_CELLS_POLL);
-    g_strlcpy(request.from, a->cells_settings.name, sizeof request.from);
     g_strlcpy(request.job_id, job_id, sizeof request.job_id);
     for (size_t i = 0; i < a->cells_settings.nneighbours && !known; i++) {
-        g_strlcpy(request.to, a->cells_settings.neighbours[i].name, sizeof request.to);
+        rr_cells_request_address(&request, &a->cells_settings, i);
         bool answered = relay_to(a, i, &request, response);
         known = answered ? response->status != 404 : read_final(a, i, job_id, response);
         all = all && answered;
@@ -520,38 +504,28 @@
     pthread_mutex_unlock(&a->lock);
     bool told = !away;
     if (away && reachable(a, neighbour)) {
-        g_strlcpy(request.from, a->cells_settings.name, sizeof request.from);
-        g_strlcpy(request.to, a->cells_settings.neighbours[neighbour].name, sizeof request.to);
-        rr_cells_client *client = rr_cells_client_create(&a->cells_settings, neighbour, &a->stop);
-        told = rr_cells_ask(client, &request, &reply) == 0 && read_away(&reply, view);
+        rr_cells_request_address(&request, &a->cells_settings, neighbour);
+        told = ask_once(a, neighbour, &request, &reply) == 0 && read_away(&reply, view);
         rr_cells_reply_clear(&reply);
-        rr_cells_client_destroy(client);
     }
     rr_cells_request_clear(&request);
     return told;
 }
 
-enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id, int *retry_after_s) {
-    rr_transfer_write write;
+enum rr_cancel_first rr_app_cells_cancel(struct rr_app *a, const char *job_id,
+                                         struct rr_user_commit *u, int *retry_after_s) {
+    rr_out_record withdrawn;
     double wait_s = 0;
     if (!a->cells) {
         return RR_CANCEL_FREE;
     }
     pthread_mutex_lock(&a->lock);
     enum rr_cancel_first first =
-        rr_transfers_cancel(a->cells->transfers, job_id, rr_wall(), &wait_s, &write);
+        rr_transfers_cancel(a->cells->transfers, job_id, rr_wall(), &wait_s, &withdrawn, &u->mark);
     pthread_mutex_unlock(&a->lock);
     if (first == RR_CANCEL_WITHDRAW) {
-        uint64_t revision = 0;
-        rr_store *store = rr_duty_open_store(a);
-        enum rr_commit rc = rr_store_commit(store, RR_PRIO_USER, &write.txn, 1.5, &revision, NULL);
-        rr_store_destroy(store);
-        if (rc == RR_COMMITTED) {
-            pthread_mutex_lock(&a->lock);
-            rr_core_apply(a->core, &write.txn, revision, rr_now());
-            pthread_mutex_unlock(&a->lock);
-        }
-        rr_transfer_write_clear(&write);
+        rr_cells_out_key(job_id, u->key, sizeof u->key);
+        rr_cells_out_encode(&withdrawn, &u->value);
     }
     *retry_after_s = (int)fmax(1, fmin(ceil(wait_s), RR_RETRY_AFTER_MAX_S));
     return first;
--- a/src/app/handlers.c
+++ b/src/app/handlers.c
@@ -148,9 +148,9 @@
             rr_app_refuse(rs, 503, "the fair share is used up", retry_after_s);
         } else {
             accept_job(a, &s, rs);
-        }
-        if (rs->status == 201) {
-            rr_app_admission_accepted(a, &s);
+            if (rs->status == 201) {
+                rr_app_admission_accepted(a, &s);
+            }
         }
         rr_submission_clear(&s);
         return;
@@ -205,7 +205,7 @@
 
 /* The other controllers stop the job's tasks in their answers from now on, also one that the state
  * service refuses and whose mirror does not bring it the cancellation. */
-static void tell_peers(struct rr_app *a, const char *ref) {
+void rr_app_tell_cancelled(struct rr_app *a, const char *ref) {
     pthread_mutex_lock(&a->lock);
     bool able = rr_core_peers_able(a->core);
     pthread_mutex_unlock(&a->lock);
@@ -241,7 +241,7 @@
         rr_app_refuse(rs, 503, "overloaded", 1);
     } else if (u.outcome == RR_COMMITTED) {
         rr_log(RR_DEBUG_LEVEL, "job %s is cancelled", ref);
-        tell_peers(a, ref);
+        rr_app_tell_cancelled(a, ref);
         answer_standing(rs, 200, ref, "aborted");
     } else if (u.outcome == RR_CONFLICT) {
         pthread_mutex_lock(&a->lock);
@@ -257,6 +257,18 @@
     return answered;
 }
 
+/* Whether no other cell can have the job any more; if one has it, it is taken back. */
+static bool is_here(struct rr_app *a, const char *ref, int *retry_after_s) {
+    struct rr_user_commit u = {.until = rr_now() + RR_ACCEPT_S};
+    rr_out_init(&u.value);
+    enum rr_cancel_first first = rr_app_cells_cancel(a, ref, &u, retry_after_s);
+    if (first == RR_CANCEL_WITHDRAW) {
+        commit_for_user(a, &u);
+    }
+    rr_out_clear(&u.value);
+    return first == RR_CANCEL_FREE;
+}
+
 void rr_app_cancel_here(struct rr_app *a, const char *ref, struct rr_response *rs) {
     double until = rr_now() + 2.5;
     int retry_after_s = 0;
@@ -264,7 +276,7 @@
         rr_app_refuse(rs, 404, "no such job", 0);
         return;
     }
-    if (rr_app_cells_cancel(a, ref, &retry_after_s) != RR_CANCEL_FREE) {
+    if (!is_here(a, ref, &retry_after_s)) {
         rr_app_refuse(rs, 503, "another cell may still run the job", retry_after_s);
         return;
     }
--- a/src/app/mirror_duty.c
+++ b/src/app/mirror_duty.c
@@ -22,23 +22,14 @@
     return rr_get_text(o, name, key, size) && rr_get_u64(o, "mark", mark);
 }
 
-/* Puts a page's rows into the mirror. False: not a page. */
-static bool put_rows(struct rr_app *a, const rr_doc *d, char *from, size_t size) {
-    const msgpack_object *rows = rr_get(d->root, "rows");
-    if (!rows || rows->type != MSGPACK_OBJECT_ARRAY) {
-        return false;
-    }
-    pthread_mutex_lock(&a->lock);
-    double now = rr_now();
-    for (uint32_t i = 0; i < rows->via.array.size; i++) {
-        const msgpack_object *o = &rows->via.array.ptr[i];
-        uint64_t mark;
-        if (row_of(o, "path", from, size, &mark) && rr_get(o, "v")) {
-            rr_core_mirror_put(a->core, from, rr_get(o, "v"), mark, now);
-        }
-    }
-    pthread_mutex_unlock(&a->lock);
-    return true;
+struct page_put {
+    rr_core *core;
+    double now;
+};
+
+static void put_row(void *user, const char *key, const msgpack_object *value, uint64_t mark) {
+    const struct page_put *page = user;
+    rr_core_mirror_put(page->core, key, value, mark, page->now);
 }
 
 /* Page by page, so that a mirror of any size is never held twice. Nobody is shown half a state:
@@ -46,28 +37,25 @@
  * page come with the watch; older marks never undo newer ones. */
 static int reread(struct rr_app *a, rr_store *s) {
     double began = rr_now();
-    char from[256] = "";
+    rr_store_cursor cursor = {.more = true};
     uint64_t first = 0, last = 0;
-    bool more = true;
     int rc = 0;
     pthread_mutex_lock(&a->lock);
     rr_core_mirror_begin(a->core);
     pthread_mutex_unlock(&a->lock);
-    while (more && rc == 0 && !rr_duty_stopping(a)) {
+    while (cursor.more && rc == 0 && !rr_duty_stopping(a)) {
         rr_doc d;
-        uint64_t epoch = 0;
-        rc = rr_store_list(s, RR_ROOT, from[0] ? from : NULL, &d);
+        rc = rr_store_next_page(s, RR_ROOT, &cursor, &d);
         if (rc != 0) {
             break;
         }
-        more = false;
-        rr_get_bool(d.root, "more", &more);
-        if (!rr_get_u64(d.root, "epoch", &epoch) || !put_rows(a, &d, from, sizeof from)) {
-            rc = -EAGAIN;
-        }
+        pthread_mutex_lock(&a->lock);
+        struct page_put page = {a->core, rr_now()};
+        rr_store_each_row(&d, &cursor, put_row, &page);
+        pthread_mutex_unlock(&a->lock);
         rr_doc_clear(&d);
-        first = first ? first : epoch;
-        last = epoch > last ? epoch : last;
+        first = first ? first : cursor.epoch;
+        last = cursor.epoch > last ? cursor.epoch : last;
     }
     pthread_mutex_lock(&a->lock);
     if (rc == 0 && !rr_duty_stopping(a)) {
--- a/src/cells/absent.c
+++ b/src/cells/absent.c
@@ -111,27 +111,18 @@
 
 /* ---- changes ---- */
 
-static void put_out(const rr_out_record *record, const char *key, rr_txn *out) {
-    rr_out packed;
-    rr_out_init(&packed);
-    rr_cells_out_encode(record, &packed);
-    rr_txn_put(out, key, &packed, 0);
-}
-
-/* Begins a change of the job's transfer: guarded by the term and by the record that was read. */
-static void begin_change(const rr_absent *absent, const char *job_id, char *key, size_t size,
-                         rr_txn *out) {
+/* Guarded by the term and by the record that was read. */
+static void change_out(const rr_absent *absent, const char *job_id, const rr_out_record *record,
+                       rr_txn *out) {
     const rr_absent_out *before = rr_absent_out_of(absent, job_id);
     rr_core_guard_term(absent->mirror, out);
-    rr_cells_out_key(job_id, key, size);
-    rr_txn_guard(out, key, before ? before->version : 0);
+    rr_cells_out_write(out, job_id, before ? before->version : 0, record);
 }
 
 /* Also guarded by the job's own record: its user may have cancelled it. */
 bool rr_absent_claim(const rr_absent *absent, const char *job_id, const char *team, rr_txn *out) {
     const rr_absent_out *before = rr_absent_out_of(absent, job_id);
     rr_out_record record = {.state = RR_HOME_OFFERED, .claim = 1};
-    char key[RR_ID + 64];
     if ((before && before->record.state != RR_HOME_LOCAL) ||
         !rr_core_guard_job(absent->mirror, job_id, out)) {
         return false;
@@ -139,32 +130,25 @@
     record.claim += before ? before->record.claim : 0;
     g_strlcpy(record.team, team, sizeof record.team);
     g_strlcpy(record.guest, absent->own_cell, sizeof record.guest);
-    begin_change(absent, job_id, key, sizeof key, out);
-    put_out(&record, key, out);
+    change_out(absent, job_id, &record, out);
     return true;
 }
 
 /* What its ledger has placed there is gone, as its workers had no controllers. */
 bool rr_absent_finish(const rr_absent *absent, const char *job_id, rr_txn *out) {
-    char key[RR_ID + 64];
     if (!rr_core_finish_job(absent->mirror, job_id, true, out)) {
         return false;
     }
-    begin_change(absent, job_id, key, sizeof key, out);
-    rr_txn_delete(out, key);
+    change_out(absent, job_id, NULL, out);
     return true;
 }
 
 bool rr_absent_give_back(const rr_absent *absent, const char *job_id, double wall, rr_txn *out) {
     const rr_absent_out *before = rr_absent_out_of(absent, job_id);
-    char key[RR_ID + 64];
     if (!before) {
         return false;
     }
-    rr_out_record record = before->record;
-    record.state = RR_HOME_LOCAL;
-    record.withdrawn_at = wall;
-    begin_change(absent, job_id, key, sizeof key, out);
-    put_out(&record, key, out);
+    rr_out_record record = rr_cells_out_withdrawn(&before->record, wall);
+    change_out(absent, job_id, &record, out);
     return true;
 }
--- a/src/cells/claims.c
+++ b/src/cells/claims.c
@@ -94,18 +94,12 @@
     rr_cells_request request;
     rr_transfer_message reply, offer = {.kind = RR_TRANSFER_OFFER, .claim = out->record.claim};
     rr_transfer_write write;
-    rr_out packed;
     rr_cells_request_init(&request, RR_CELLS_TRANSFERS);
     g_strlcpy(request.team, submission->team, sizeof request.team);
     request.lease_s = look->transfers->settings->times.lease_s;
     request.rest_s = look->transfers->settings->times.rest_s;
-    rr_cells_add_item(request.items, submission->ref, &offer);
-    rr_cells_item *item = &g_array_index(request.items, rr_cells_item, 0);
-    rr_out_init(&packed);
-    rr_core_job_encode(&packed, submission, at, false);
-    item->submission = g_byte_array_new();
-    g_byte_array_append(item->submission, (const guint8 *)packed.buf.data, (guint)packed.buf.size);
-    rr_out_clear(&packed);
+    rr_cells_add_offer(request.items, &offer, submission, at);
+    const rr_cells_item *item = &g_array_index(request.items, rr_cells_item, 0);
     if (rr_transfers_receive(look->transfers, look->neighbour, &request, item, look->now,
                              look->wall, &reply, &write)) {
         g_ptr_array_add(look->here->writes, g_memdup2(&write, sizeof write));
--- a/src/cells/links.c
+++ b/src/cells/links.c
@@ -200,11 +200,8 @@
     links->logged_at = -LOG_EVERY_S;
     pthread_mutex_init(&links->lock, NULL);
     pthread_cond_init(&links->ended, NULL);
-    links->listener = rr_socket_bind(&settings->listen, 0);
+    links->listener = rr_socket_listen(&settings->listen, BACKLOG);
     int rc = links->listener < 0 ? links->listener : 0;
-    if (rc == 0 && listen(links->listener, BACKLOG) != 0) {
-        rc = -errno;
-    }
     if (rc == 0) {
         rc = rr_thread_start(&links->acceptor, accept_main, links, false);
         links->accepting = rc == 0;
--- a/src/cells/messages.h
+++ b/src/cells/messages.h
@@ -62,6 +62,12 @@
 void rr_cells_reply_init(rr_cells_reply *reply);
 void rr_cells_reply_clear(rr_cells_reply *reply);
 void rr_cells_add_item(GArray *items, const char *job_id, const rr_transfer_message *message);
+/* An offer carries the job; at: wall, when its home accepted it. */
+void rr_cells_add_offer(GArray *items, const rr_transfer_message *offer,
+                        const rr_submission *submission, double at);
+/* From this cell to a neighbour. */
+void rr_cells_request_address(rr_cells_request *request, const rr_cells_settings *settings,
+                              size_t neighbour);
 
 /* Whole frames, appended. */
 void rr_cells_request_pack(const rr_cells_request *request, GByteArray *out);
--- a/src/cells/outgoing.c
+++ b/src/cells/outgoing.c
@@ -78,40 +78,40 @@
 
 /* ---- writes ---- */
 
+static rr_out_record next_record(const rr_transfers *transfers, const rr_outgoing *entry,
+                                 double wall) {
+    const rr_home_record *next = &entry->home.writing;
+    if (next->state == RR_HOME_LOCAL) {
+        return rr_cells_out_withdrawn(&entry->record, wall);
+    }
+    rr_out_record record = entry->record;
+    record.state = next->state;
+    record.claim = next->claim;
+    record.withdrawn_at = 0;
+    g_strlcpy(record.guest, transfers->settings->neighbours[next->guest].name, sizeof record.guest);
+    return record;
+}
+
 /* What the machine wants written. The final record of the job goes with its transfer's end. */
 static bool make_write(rr_transfers *transfers, rr_outgoing *entry, double wall,
                        rr_transfer_write *write) {
     const rr_home_record *next = &entry->home.writing;
-    char key[RR_ID + 64];
     bool good = true;
     memset(write, 0, sizeof *write);
     write->outgoing = true;
     g_strlcpy(write->id, entry->job_id, sizeof write->id);
     rr_txn_init(&write->txn);
     rr_core_guard_term(transfers->core, &write->txn);
-    rr_cells_out_key(entry->job_id, key, sizeof key);
-    rr_txn_guard(&write->txn, key, entry->version);
-    if (next->state == RR_HOME_OFFERED) {
-        /* Its user may have cancelled it, and this mirror not know. */
-        good = rr_core_guard_job(transfers->core, entry->job_id, &write->txn);
-    }
     if (next->state == RR_HOME_FINAL) {
         good = next->answer != RR_ANSWER_DONE ||
                rr_core_finish_job(transfers->core, entry->job_id, false, &write->txn);
-        rr_txn_delete(&write->txn, key);
+        rr_cells_out_write(&write->txn, entry->job_id, entry->version, NULL);
     } else {
-        rr_out_record record = entry->record;
-        rr_out packed;
-        record.state = next->state;
-        record.claim = next->claim;
-        record.withdrawn_at = next->state == RR_HOME_OFFERED ? 0 : wall;
-        if (next->guest < transfers->settings->nneighbours) {
-            g_strlcpy(record.guest, transfers->settings->neighbours[next->guest].name,
-                      sizeof record.guest);
-        }
-        rr_out_init(&packed);
-        rr_cells_out_encode(&record, &packed);
-        rr_txn_put(&write->txn, key, &packed, 0);
+        rr_out_record record = next_record(transfers, entry, wall);
+        /* Its user may have cancelled it, and this mirror not know. */
+        good = next->state != RR_HOME_OFFERED ||
+               rr_core_guard_job(transfers->core, entry->job_id, &write->txn);
+        rr_cells_out_write(&write->txn, entry->job_id, entry->version, &record);
     }
     if (!good) {
         rr_home_written(&entry->home, false);
@@ -202,14 +202,7 @@
     }
     entry->said_at = now;
     rr_cells_request *request = rr_plan_request(transfers, plan, neighbour, entry->record.team);
-    rr_cells_add_item(request->items, entry->job_id, &step.message);
-    rr_cells_item *item = &g_array_index(request->items, rr_cells_item, request->items->len - 1);
-    rr_out packed;
-    rr_out_init(&packed);
-    rr_core_job_encode(&packed, job.submission, job.at, false);
-    item->submission = g_byte_array_new();
-    g_byte_array_append(item->submission, (const guint8 *)packed.buf.data, (guint)packed.buf.size);
-    rr_out_clear(&packed);
+    rr_cells_add_offer(request->items, &step.message, job.submission, job.at);
 }
 
 static bool guest_is_lost(const rr_transfers *transfers, const rr_outgoing *entry, double now) {
@@ -464,25 +457,13 @@
 }
 
 enum rr_cancel_first rr_transfers_cancel(const rr_transfers *transfers, const char *job_id,
-                                         double wall, double *wait_s, rr_transfer_write *write) {
+                                         double wall, double *wait_s, rr_out_record *withdrawn,
+                                         uint64_t *version) {
     const rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, job_id);
     enum rr_cancel_first first = cancel_state(transfers, entry, wall, wait_s);
-    if (first != RR_CANCEL_WITHDRAW) {
-        return first;
+    if (first == RR_CANCEL_WITHDRAW) {
+        *withdrawn = rr_cells_out_withdrawn(&entry->record, wall);
+        *version = entry->version;
     }
-    char key[RR_ID + 64];
-    rr_out packed;
-    rr_out_record record = entry->record;
-    record.state = RR_HOME_LOCAL;
-    record.withdrawn_at = wall;
-    memset(write, 0, sizeof *write);
-    write->outgoing = true;
-    g_strlcpy(write->id, job_id, sizeof write->id);
-    rr_txn_init(&write->txn);
-    rr_cells_out_key(job_id, key, sizeof key);
-    rr_txn_guard(&write->txn, key, entry->version);
-    rr_out_init(&packed);
-    rr_cells_out_encode(&record, &packed);
-    rr_txn_put(&write->txn, key, &packed, 0);
-    return RR_CANCEL_WITHDRAW;
+    return first;
 }
--- a/src/cells/records.c
+++ b/src/cells/records.c
@@ -45,6 +45,28 @@
     rr_put_key_text(out, "answer", answers[record->answer]);
 }
 
+void rr_cells_out_write(rr_txn *txn, const char *job_id, uint64_t version,
+                        const rr_out_record *record) {
+    char key[RR_ID + 64];
+    rr_cells_out_key(job_id, key, sizeof key);
+    rr_txn_guard(txn, key, version);
+    if (!record) {
+        rr_txn_delete(txn, key);
+        return;
+    }
+    rr_out packed;
+    rr_out_init(&packed);
+    rr_cells_out_encode(record, &packed);
+    rr_txn_put(txn, key, &packed, 0);
+}
+
+rr_out_record rr_cells_out_withdrawn(const rr_out_record *record, double wall) {
+    rr_out_record withdrawn = *record;
+    withdrawn.state = RR_HOME_LOCAL;
+    withdrawn.withdrawn_at = wall;
+    return withdrawn;
+}
+
 int rr_cells_out_decode(const msgpack_object *value, rr_out_record *out) {
     uint64_t claim = 0;
     int state = index_of(value, "state", home_states, G_N_ELEMENTS(home_states));
--- a/src/cells/records.h
+++ b/src/cells/records.h
@@ -5,6 +5,7 @@
 
 #include "cells/settings.h"
 #include "cells/transfer.h"
+#include "core/txn.h"
 #include "wire/wire.h"
 
 #define RR_CELLS_PREFIX "rr/cells/"
@@ -32,6 +33,11 @@
 void rr_cells_in_key(const char *local_id, char *out, size_t size);
 void rr_cells_out_encode(const rr_out_record *record, rr_out *out);
 void rr_cells_in_encode(const rr_in_record *record, rr_out *out);
+/* Changes the record that has this version (0: there is none); record NULL: deletes it. */
+void rr_cells_out_write(rr_txn *txn, const char *job_id, uint64_t version,
+                        const rr_out_record *record);
+/* The job taken back: what the record says after. */
+rr_out_record rr_cells_out_withdrawn(const rr_out_record *record, double wall);
 /* 0, or -EBADMSG. */
 int rr_cells_out_decode(const msgpack_object *value, rr_out_record *out);
 int rr_cells_in_decode(const msgpack_object *value, rr_in_record *out);
--- a/src/cells/transfers.c
+++ b/src/cells/transfers.c
@@ -84,8 +84,7 @@
     }
     rr_cells_request *request = g_new0(rr_cells_request, 1);
     rr_cells_request_init(request, RR_CELLS_TRANSFERS);
-    g_strlcpy(request->from, transfers->settings->name, sizeof request->from);
-    g_strlcpy(request->to, transfers->settings->neighbours[neighbour].name, sizeof request->to);
+    rr_cells_request_address(request, transfers->settings, neighbour);
     g_strlcpy(request->team, team, sizeof request->team);
     request->lease_s = transfers->settings->times.lease_s;
     request->rest_s = transfers->settings->times.rest_s;
@@ -102,8 +101,7 @@
 }
 
 rr_transfer_message rr_transfers_written(rr_transfers *transfers, const rr_transfer_write *write,
-                                         bool committed, double now) {
-    (void)now;
+                                         bool committed) {
     return write->outgoing ? rr_outgoing_written(transfers, write, committed)
                            : rr_incoming_written(transfers, write, committed);
 }
--- a/src/cells/transfers.h
+++ b/src/cells/transfers.h
@@ -50,7 +50,7 @@
 /* The write's outcome, after the core has taken its changes. The message, if any, is for the
  * neighbour; in a reply to what caused the write, or dropped, as the next look repeats it. */
 rr_transfer_message rr_transfers_written(rr_transfers *transfers, const rr_transfer_write *write,
-                                         bool committed, double now);
+                                         bool committed);
 
 /* A message from a neighbour about a job of a team that this controller plans. Either *reply is the
  * reply to it, or *write is to be committed first (true) and its message is. */
@@ -88,7 +88,7 @@
 /* What stands between a user's cancellation and its record. */
 enum rr_cancel_first {
     RR_CANCEL_FREE,     /* nothing */
-    RR_CANCEL_WITHDRAW, /* *write: the job is taken back first */
+    RR_CANCEL_WITHDRAW, /* the record of this version becomes *withdrawn first */
     RR_CANCEL_WAIT      /* grants may last yet for *wait_s */
 };
 /* Whether a cancellation may be recorded now, if the transfer's record has this version still (0:
@@ -96,7 +96,8 @@
 bool rr_transfers_may_cancel(const rr_transfers *transfers, const char *job_id, double wall,
                              uint64_t *version);
 enum rr_cancel_first rr_transfers_cancel(const rr_transfers *transfers, const char *job_id,
-                                         double wall, double *wait_s, rr_transfer_write *write);
+                                         double wall, double *wait_s, rr_out_record *withdrawn,
+                                         uint64_t *version);
 
 typedef struct {
     unsigned outgoing, incoming;      /* now */
--- a/src/core/observe.c
+++ b/src/core/observe.c
@@ -123,17 +123,18 @@
 }
 
 bool rr_core_abandon_job(const rr_core *c, const char *job_id, rr_txn *t) {
-    const rr_job *job = open_job(c, job_id);
-    if (job) {
-        char key[RR_ID + 64];
-        rr_out o;
-        rr_out_init(&o);
-        rr_core_job_encode(&o, &job->s, job->at, true);
-        rr_core_job_key(job_id, key, sizeof key);
-        rr_txn_guard(t, key, job->own_mark);
-        rr_txn_put(t, key, &o, 0);
+    char key[RR_ID + 64];
+    uint64_t mark;
+    rr_out o;
+    if (!open_job(c, job_id)) {
+        return false;
     }
-    return job != NULL;
+    rr_out_init(&o);
+    rr_core_cancel_record(c, job_id, &o, &mark);
+    rr_core_job_key(job_id, key, sizeof key);
+    rr_txn_guard(t, key, mark);
+    rr_txn_put(t, key, &o, 0);
+    return true;
 }
 
 bool rr_core_job_cancelled(const rr_core *c, const char *job_id, double now) {
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -36,12 +36,18 @@
     return rr_all_able_to(c, RR_ABLE_GANGS);
 }
 
+/* The record of a controller of the term, by its present session; NULL: it has none. */
+static const rr_session *live_session(const rr_core *c, guint place) {
+    const rr_session *t = &g_array_index(c->term.nodes, rr_session, place);
+    const rr_session *s = g_hash_table_lookup(c->sessions, t->name);
+    return s && s->tether == t->tether ? s : NULL;
+}
+
 bool rr_all_able_to(const rr_core *c, uint64_t able) {
     bool all = c->term.nodes->len > 0;
     for (guint i = 0; i < c->term.nodes->len; i++) {
-        const rr_session *t = &g_array_index(c->term.nodes, rr_session, i);
-        const rr_session *s = g_hash_table_lookup(c->sessions, t->name);
-        all = all && s && s->tether == t->tether && s->able >= able;
+        const rr_session *s = live_session(c, i);
+        all = all && s && s->able >= able;
     }
     return all;
 }
@@ -49,9 +55,8 @@
 bool rr_core_all_hold(const rr_core *c) {
     bool all = c->term.nodes->len > 0;
     for (guint i = 0; i < c->term.nodes->len; i++) {
-        const rr_session *t = &g_array_index(c->term.nodes, rr_session, i);
-        const rr_session *s = g_hash_table_lookup(c->sessions, t->name);
-        all = all && s && s->tether == t->tether && s->holds;
+        const rr_session *s = live_session(c, i);
+        all = all && s && s->holds;
     }
     return all;
 }
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -28,3 +28,13 @@
     }
     return fd;
 }
+
+int rr_socket_listen(const struct rr_endpoint *e, int backlog) {
+    int fd = rr_socket_bind(e, 0);
+    if (fd >= 0 && listen(fd, backlog) != 0) {
+        int rc = -errno;
+        close(fd);
+        return rc;
+    }
+    return fd;
+}
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define BACKLOG 64
+
 rr_peers *rr_peers_create(const struct rr_config *cfg, const struct rr_peer_events *ev,
                           const atomic_bool *stop) {
     rr_peers *p = g_new0(rr_peers, 1);
@@ -42,15 +44,10 @@
 }
 
 int rr_peers_start(rr_peers *p) {
-    int fd = rr_socket_bind(&p->cfg->peer_listen, 0);
+    int fd = rr_socket_listen(&p->cfg->peer_listen, BACKLOG);
     if (fd < 0) {
         return fd;
     }
-    if (listen(fd, 64) != 0) {
-        int rc = -errno;
-        close(fd);
-        return rc;
-    }
     p->listener = fd;
     p->accepting = rr_thread_start(&p->acceptor, rr_peer_listen_main, p, false) == 0;
     for (size_t i = 0; i < p->cfg->npeers; i++) {
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -141,15 +141,39 @@
     return rc;
 }
 
-int rr_store_list(rr_store *s, const char *prefix, const char *from, rr_doc *doc) {
+int rr_store_next_page(rr_store *s, const char *prefix, rr_store_cursor *cursor, rr_doc *doc) {
     char path[512];
     rr_reply reply;
-    g_snprintf(path, sizeof path, "/store?starts=%s%s%s&limit=1000", prefix, from ? "&from=" : "",
-               from ? from : "");
+    g_snprintf(path, sizeof path, "/store?starts=%s%s%s&limit=1000", prefix,
+               cursor->from[0] ? "&from=" : "", cursor->from);
     if (call(s, RR_PRIO_SESSION, 0, "GET", path, NULL, 5, &reply) != 0 || reply.status != 200) {
         return -EAGAIN;
     }
-    return parse_reply(&reply, doc);
+    int rc = parse_reply(&reply, doc);
+    if (rc != 0) {
+        return rc;
+    }
+    const msgpack_object *rows = rr_get(doc->root, "rows");
+    cursor->more = false;
+    rr_get_bool(doc->root, "more", &cursor->more);
+    if (!rr_get_u64(doc->root, "epoch", &cursor->epoch) || !rows ||
+        rows->type != MSGPACK_OBJECT_ARRAY) {
+        rr_doc_clear(doc);
+        return -EAGAIN;
+    }
+    return 0;
+}
+
+void rr_store_each_row(const rr_doc *doc, rr_store_cursor *cursor, rr_store_row_fn fn, void *user) {
+    const msgpack_object *rows = rr_get(doc->root, "rows");
+    for (uint32_t i = 0; i < rows->via.array.size; i++) {
+        const msgpack_object *row = &rows->via.array.ptr[i];
+        uint64_t mark;
+        if (rr_get_text(row, "path", cursor->from, sizeof cursor->from) &&
+            rr_get_u64(row, "mark", &mark) && rr_get(row, "v")) {
+            fn(user, cursor->from, rr_get(row, "v"), mark);
+        }
+    }
 }
 
 int rr_store_watch(rr_store *s, const char *prefix, uint64_t from, int hold_ms, rr_doc *doc) {
--- a/tests/cell_pair.c
+++ b/tests/cell_pair.c
@@ -152,12 +152,7 @@
                                   bool refuse) {
     bool done = !refuse && fx_commit(cell->store, &write->txn) == 0;
     fx_sync(cell->store, cell->node.core, cell->node.now);
-    return rr_transfers_written(cell->transfers, write, done, cell->node.now);
-}
-
-void cell_commit(struct test_cell *cell, rr_transfer_write *write) {
-    commit(cell, write, false);
-    rr_transfer_write_clear(write);
+    return rr_transfers_written(cell->transfers, write, done);
 }
 
 /* The request goes over the wire as bytes. */
--- a/tests/cell_pair.h
+++ b/tests/cell_pair.h
@@ -52,6 +52,5 @@
 bool cell_job(const struct test_cell *cell, const char *job_id, rr_core_job *out);
 /* The guest's name for the job under this claim. */
 const char *cell_pair_local(const cell_pair *pair, const char *job_id, uint32_t claim);
-void cell_commit(struct test_cell *cell, rr_transfer_write *write);
 
 #endif
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -404,11 +404,18 @@
 }
 
 static enum rr_cancel_first ask_to_cancel(cell_pair *pair, double *wait_s) {
-    rr_transfer_write write;
+    fx_node *home = &pair->home.node;
+    rr_out_record withdrawn;
+    uint64_t version;
     enum rr_cancel_first first =
-        rr_transfers_cancel(pair->home.transfers, JOB, pair->home.node.now, wait_s, &write);
+        rr_transfers_cancel(pair->home.transfers, JOB, home->now, wait_s, &withdrawn, &version);
     if (first == RR_CANCEL_WITHDRAW) {
-        cell_commit(&pair->home, &write);
+        rr_txn txn;
+        rr_txn_init(&txn);
+        rr_cells_out_write(&txn, JOB, version, &withdrawn);
+        assert_int_equal(fx_commit(home->store, &txn), 0);
+        rr_txn_clear(&txn);
+        fx_sync(home->store, home->core, home->now);
     }
     return first;
 }
@@ -520,16 +527,9 @@
     request.lease_s = 10;
     request.rest_s = 80;
     rr_transfer_message offer = {.kind = RR_TRANSFER_OFFER, .claim = 1};
-    rr_cells_add_item(request.items, JOB, &offer);
     rr_submission submission;
-    rr_out packed;
     fx_submission(&submission, &waiting);
-    rr_out_init(&packed);
-    rr_core_job_encode(&packed, &submission, 1000, false);
-    GByteArray *bytes = g_byte_array_new();
-    g_byte_array_append(bytes, (const guint8 *)packed.buf.data, (guint)packed.buf.size);
-    g_array_index(request.items, rr_cells_item, 0).submission = bytes;
-    rr_out_clear(&packed);
+    rr_cells_add_offer(request.items, &offer, &submission, 1000);
     rr_submission_clear(&submission);
     double now = pair->guest.node.now;
     assert_false(rr_transfers_receive(pair->guest.transfers, 0, &request,
