--- a/review/standins-2/world.c
+++ b/review/standins-2/world.c
@@ -166,8 +166,9 @@
 };
 
 /* The ports lie below those that the system gives to outgoing connections, so that none of these
- * takes one before its listener starts. */
+ * takes one before its listener starts. No port is returned twice. */
 int find_free_port(const char *address) {
+    static bool given[65536];
     struct sockaddr_in to = {.sin_family = AF_INET};
     inet_pton(AF_INET, address, &to.sin_addr);
     for (int i = 0; i < 1000; i++) {
@@ -177,7 +178,8 @@
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
         bool is_free = bind(fd, (struct sockaddr *)&to, sizeof to) == 0 && listen(fd, 1) == 0;
         close(fd);
-        if (is_free) {
+        if (is_free && !given[port]) {
+            given[port] = true;
             return port;
         }
     }
