--- a/review/standins-2/two_cells.c
+++ b/review/standins-2/two_cells.c
@@ -77,14 +77,34 @@
     g_snprintf(files[cell], sizeof files[cell], "%s/%s.conf", folder, cell_names[cell]);
     g_snprintf(cell_folder, sizeof cell_folder, "%s/%s", folder, cell_names[cell]);
     mkdir(cell_folder, 0700);
-    struct world_settings world_settings = {
-        .name = cell_names[cell], .controllers = CELLS_CONTROLLERS, .zones = {zones[cell]},
-        .teams = {"library-crew"}, .cpus = {16}, .cpus_max = {64}, .report_s = 0.5,
-        .lease_s = settings->worker_lease_s, .cancel_s = settings->cancel_s, .gang_wait_s = 6,
-        .gang_peer_s = 2, .state_rps = 250, .state_write_rps = 100, .value_kb = 8, .txn_ops = 32,
-        .cloud_rps = 10, .list_lag_s = 2, .vcpus = 16, .cards = 2, .mem_gb = 128, .price = 5.7,
-        .spot_price = 2.21, .startup_s = 2, .pull_gb_per_s = 1, .sku = "bench-16g",
-        .machines_max = 1, .machines_up = 1, .cells_file = files[cell]};
+    struct world_settings world_settings = {.name = cell_names[cell],
+                                            .controllers = CELLS_CONTROLLERS,
+                                            .zones = {zones[cell]},
+                                            .teams = {"library-crew"},
+                                            .cpus = {16},
+                                            .cpus_max = {64},
+                                            .report_s = 0.5,
+                                            .lease_s = settings->worker_lease_s,
+                                            .cancel_s = settings->cancel_s,
+                                            .gang_wait_s = 6,
+                                            .gang_peer_s = 2,
+                                            .state_rps = 250,
+                                            .state_write_rps = 100,
+                                            .value_kb = 8,
+                                            .txn_ops = 32,
+                                            .cloud_rps = 10,
+                                            .list_lag_s = 2,
+                                            .vcpus = 16,
+                                            .cards = 2,
+                                            .mem_gb = 128,
+                                            .price = 5.7,
+                                            .spot_price = 2.21,
+                                            .startup_s = 2,
+                                            .pull_gb_per_s = 1,
+                                            .sku = "bench-16g",
+                                            .machines_max = 1,
+                                            .machines_up = 1,
+                                            .cells_file = files[cell]};
     cells[cell] = world_start(&world_settings, cell_folder);
 }
 
--- a/review/standins-2/two_cells.h
+++ b/review/standins-2/two_cells.h
@@ -9,13 +9,14 @@
 struct cells_settings {
     double lease_s, begin_wait_s; /* of the cells' files */
     double worker_lease_s, cancel_s;
-    bool claims;                  /* the cells may read each other's state service */
+    bool claims; /* the cells may read each other's state service */
 };
 
 extern const char *const cell_names[2]; /* cell 0 is the home of the jobs that move */
 extern struct world *cells[2];
 
-/* Starts both cells and waits until all controllers are ready. Ends the program with 2 otherwise. */
+/* Starts both cells and waits until all controllers are ready. Ends the program with 2 otherwise.
+ */
 void cells_start(const struct cells_settings *settings, const char *folder);
 void cells_stop(void);
 void cells_cut_link(bool cut);
--- a/review/standins-2/world.c
+++ b/review/standins-2/world.c
@@ -92,10 +92,10 @@
     enum task_state state;
     const char *cause;
     bool saved;
-    double since;   /* of the state */
+    double since;    /* of the state */
     double ready_at; /* image */
-    double ends_at; /* of running (INFINITY: service) or flushing */
-    int run;        /* index in world->runs, -1: not on the machine yet */
+    double ends_at;  /* of running (INFINITY: service) or flushing */
+    int run;         /* index in world->runs, -1: not on the machine yet */
 };
 
 struct late_command {
@@ -117,6 +117,7 @@
     double token_change_at;
     GArray *tasks, *images; /* struct task; char* */
     GArray *late;           /* struct late_command */
+    GArray *carried_out;    /* struct late_command: direct commands that have been executed */
     struct http_server *server;
     pthread_t thread;
     bool thread_started;
@@ -144,6 +145,9 @@
     bool state_down;
     double request_tokens, write_tokens, tokens_at;
     GArray *late_commits;
+    const char *lose_prefix; /* of a key in the transaction from which answers are lost; or NULL */
+    double lose_s, lost_until;
+    struct controller *lost_at;
     /* cloud */
     bool cloud_down;
     double cloud_tokens, cloud_tokens_at;
@@ -213,7 +217,8 @@
         return size;
     case MSGPACK_OBJECT_MAP:
         for (uint32_t i = 0; i < value->via.map.size; i++) {
-            size += json_size(&value->via.map.ptr[i].key) + json_size(&value->via.map.ptr[i].val) + 2;
+            size +=
+                json_size(&value->via.map.ptr[i].key) + json_size(&value->via.map.ptr[i].val) + 2;
         }
         return size;
     default:
@@ -276,7 +281,8 @@
 
 /* Carries out a transaction. out may be NULL. Caller holds the lock. */
 static int commit(struct world *world, const msgpack_object *request, rr_encoder *out) {
-    const msgpack_object *guards = rr_map_get(request, "guards"), *apply = rr_map_get(request, "apply");
+    const msgpack_object *guards = rr_map_get(request, "guards"),
+                         *apply = rr_map_get(request, "apply");
     char key[256];
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
     for (uint32_t i = 0; i < count_items(apply); i++) {
@@ -327,7 +333,8 @@
 }
 
 static bool exceeds_limits(const struct world *world, const msgpack_object *request) {
-    const msgpack_object *guards = rr_map_get(request, "guards"), *apply = rr_map_get(request, "apply");
+    const msgpack_object *guards = rr_map_get(request, "guards"),
+                         *apply = rr_map_get(request, "apply");
     if ((int)count_items(apply) > world->settings.txn_ops ||
         (int)count_items(guards) > 4 * world->settings.txn_ops || json_size(request) > 64 * 1024) {
         return true;
@@ -387,7 +394,8 @@
         }
     }
     for (int i = 0; i < count; i++) {
-        record("state: lease %" G_GUINT64_FORMAT " of %s has ended", ended[i], world->settings.name);
+        record("state: lease %" G_GUINT64_FORMAT " of %s has ended", ended[i],
+               world->settings.name);
         end_hold(world, ended[i]);
     }
 }
@@ -431,7 +439,9 @@
     http_argument(target, "starts", starts, sizeof starts);
     http_argument(target, "from", from, sizeof from);
     http_argument(target, "limit", limit, sizeof limit);
-    struct listing listing = {.starts = starts, .from = from, .limit = limit[0] ? atoi(limit) : 1000,
+    struct listing listing = {.starts = starts,
+                              .from = from,
+                              .limit = limit[0] ? atoi(limit) : 1000,
                               .keys = g_ptr_array_new()};
     listing.limit = MIN(listing.limit, 1000);
     g_tree_foreach(world->rows, list_row, &listing);
@@ -475,11 +485,12 @@
     double until = rr_steady_clock_s() + MIN(g_ascii_strtod(hold_text, NULL), 60000) / 1000;
     for (;;) {
         bool open = world->state_down || controller->refused; /* waits as in an outage */
-        if (world->stopping || (!open && (changed_after(world, starts, from) ||
-                                          rr_steady_clock_s() >= until))) {
+        if (world->stopping ||
+            (!open && (changed_after(world, starts, from) || rr_steady_clock_s() >= until))) {
             break;
         }
-        wait_changed(world, open ? rr_steady_clock_s() + 0.1 : MIN(until, rr_steady_clock_s() + 0.5));
+        wait_changed(world,
+                     open ? rr_steady_clock_s() + 0.1 : MIN(until, rr_steady_clock_s() + 0.5));
     }
     if (world->log->len > 10000 &&
         ((const struct change *)world->log->pdata[world->log->len - 10000])->version > from + 1) {
@@ -579,7 +590,8 @@
             return answer_text_error(out, 400, "limits");
         }
         if (writes > 0 && g_rand_double(world->random) < controller->late_share) {
-            struct late_commit late = {rr_steady_clock_s() + g_rand_double_range(world->random, 2, 12),
+            struct late_commit late = {rr_steady_clock_s() +
+                                           g_rand_double_range(world->random, 2, 12),
                                        g_memdup2(body, length), length};
             g_array_append_val(world->late_commits, late);
             return HTTP_HOLD;
@@ -608,6 +620,38 @@
     return 400;
 }
 
+/* Returns whether the transaction puts a key with the prefix. */
+static bool puts_key(const msgpack_object *request, const char *prefix) {
+    const msgpack_object *apply = request ? rr_map_get(request, "apply") : NULL;
+    for (uint32_t i = 0; i < count_items(apply); i++) {
+        char key[256] = "";
+        rr_map_get_text(&apply->via.array.ptr[i], "put", key, sizeof key);
+        if (g_str_has_prefix(key, prefix)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool answers_are_lost(const struct controller *controller) {
+    const struct world *world = controller->world;
+    return world->lost_at == controller && rr_steady_clock_s() < world->lost_until;
+}
+
+void world_lose_answers(struct world *world, const char *key_prefix, double seconds) {
+    pthread_mutex_lock(&world->lock);
+    world->lose_prefix = key_prefix;
+    world->lose_s = seconds;
+    pthread_mutex_unlock(&world->lock);
+}
+
+struct controller *world_lost_at(struct world *world) {
+    pthread_mutex_lock(&world->lock);
+    struct controller *controller = world->lost_at;
+    pthread_mutex_unlock(&world->lock);
+    return controller;
+}
+
 static int on_state_request(void *user, const char *method, const char *target,
                             const msgpack_object *request, const void *body, size_t length,
                             rr_encoder *out) {
@@ -617,7 +661,20 @@
         return HTTP_HOLD;
     }
     pthread_mutex_lock(&world->lock);
+    if (answers_are_lost(controller)) {
+        pthread_mutex_unlock(&world->lock);
+        return HTTP_HOLD;
+    }
     int status = state_request(controller, method, target, request, body, length, out);
+    if (world->lose_prefix && status == 200 && puts_key(request, world->lose_prefix)) {
+        record("state: a transaction of %s is carried out, its answer is lost", controller->name);
+        world->lose_prefix = NULL;
+        world->lost_at = controller;
+        world->lost_until = rr_steady_clock_s() + world->lose_s;
+    }
+    if (answers_are_lost(controller)) {
+        status = HTTP_HOLD;
+    }
     pthread_mutex_unlock(&world->lock);
     if (controller->delay_s > 0 && !g_str_has_prefix(target, "/watch?")) {
         rr_sleep(controller->delay_s);
@@ -666,7 +723,8 @@
     struct world *world = machine->world;
     char key[96];
     double now = rr_steady_clock_s();
-    struct run run = {.job = task->job, .piece = task->piece, .attempt = task->attempt, .from = now};
+    struct run run = {
+        .job = task->job, .piece = task->piece, .attempt = task->attempt, .from = now};
     g_strlcpy(run.machine, machine->name, sizeof run.machine);
     g_strlcpy(run.zone, machine->zone, sizeof run.zone);
     g_strlcpy(run.name, task->name, sizeof run.name);
@@ -689,7 +747,10 @@
     const double *saved = g_hash_table_lookup(world->progress, key);
     task->state = RUNNING;
     task->since = now;
-    task->ends_at = task->job->run_s > 0 ? now + task->job->run_s - (saved ? *saved : 0) : INFINITY;
+    const struct job *job = task->job;
+    bool is_long = task->piece >= job->long_from && task->piece < job->long_to;
+    double run_s = is_long ? job->long_run_s : job->run_s;
+    task->ends_at = run_s > 0 ? now + run_s - (saved ? *saved : 0) : INFINITY;
     machine->changed = true;
 }
 
@@ -894,7 +955,8 @@
 /* Executes a direct command. Caller holds the lock. */
 static int execute_direct(struct machine *machine, const msgpack_object *request, rr_encoder *out) {
     uint64_t token, tenure;
-    if (!rr_map_get_u64(request, "warrant", &token) || !rr_map_get_u64(request, "tenure", &tenure)) {
+    if (!rr_map_get_u64(request, "warrant", &token) ||
+        !rr_map_get_u64(request, "tenure", &tenure)) {
         return 400;
     }
     advance_machine(machine, rr_steady_clock_s());
@@ -934,6 +996,8 @@
         status = HTTP_HOLD;
     } else if (is_do) {
         status = execute_direct(machine, request, out);
+        struct late_command copy = {0, g_memdup2(body, length), length};
+        g_array_append_val(machine->carried_out, copy);
     } else if (strcmp(target, "/status") == 0) {
         encode_report(machine, out);
         status = 200;
@@ -959,6 +1023,48 @@
     }
 }
 
+/* Returns whether the body of a direct command starts a task of the job. */
+static bool starts_task_of(const struct late_command *command, const struct job *job) {
+    rr_document document;
+    bool found = false;
+    if (rr_document_parse(&document, command->body, command->length) == 0) {
+        const msgpack_object *orders = rr_map_get(document.root, "orders");
+        for (uint32_t i = 0; i < count_items(orders); i++) {
+            const msgpack_object *order = &orders->via.array.ptr[i];
+            char name[96] = "";
+            rr_map_get_text(order, "piece", name, sizeof name);
+            found = found || (rr_object_text_equals(rr_map_get(order, "verb"), "start") &&
+                              g_str_has_prefix(name, job->id) && name[strlen(job->id)] == '/');
+        }
+    }
+    rr_document_clear(&document);
+    return found;
+}
+
+int world_repeat_starts(struct world *world, const struct job *job) {
+    int count = 0;
+    pthread_mutex_lock(&world->lock);
+    for (int i = 0; i < world->machine_count; i++) {
+        struct machine *machine = world->machines[i];
+        for (guint k = 0; k < machine->carried_out->len && !machine->gone; k++) {
+            const struct late_command *command =
+                &g_array_index(machine->carried_out, struct late_command, k);
+            rr_document document;
+            if (!starts_task_of(command, job) ||
+                rr_document_parse(&document, command->body, command->length) != 0) {
+                continue;
+            }
+            int status = execute_direct(machine, document.root, NULL);
+            record("network: a command that started a task of %s reaches %s again: %d", job->id,
+                   machine->name, status);
+            rr_document_clear(&document);
+            count++;
+        }
+    }
+    pthread_mutex_unlock(&world->lock);
+    return count;
+}
+
 /* Sends one report and does what its answer says. Called without the lock. */
 static void send_report(struct machine *machine, rr_http_client *client) {
     struct world *world = machine->world;
@@ -976,8 +1082,11 @@
     int index = machine->controller;
     endpoint.port = (uint16_t)world->controllers[index].bind_port;
     pthread_mutex_unlock(&world->lock);
-    struct rr_http_call call = {.method = "POST", .endpoint = &endpoint, .path = "/hello",
-                                .body = report.buffer.data, .body_bytes = report.buffer.size,
+    struct rr_http_call call = {.method = "POST",
+                                .endpoint = &endpoint,
+                                .path = "/hello",
+                                .body = report.buffer.data,
+                                .body_bytes = report.buffer.size,
                                 .timeout_s = 4};
     int rc = machine->mute ? -EIO : rr_http_client_call(client, &call, &reply);
     if (machine->mute) {
@@ -1059,7 +1168,8 @@
     return NULL;
 }
 
-static struct machine *add_machine(struct world *world, const char *zone, bool spot, double boot_s) {
+static struct machine *add_machine(struct world *world, const char *zone, bool spot,
+                                   double boot_s) {
     struct machine *machine = g_new0(struct machine, 1);
     machine->world = world;
     machine->index = world->machine_count;
@@ -1069,6 +1179,7 @@
     machine->tasks = g_array_new(FALSE, TRUE, sizeof(struct task));
     machine->images = g_array_new(FALSE, TRUE, sizeof(char *));
     machine->late = g_array_new(FALSE, TRUE, sizeof(struct late_command));
+    machine->carried_out = g_array_new(FALSE, TRUE, sizeof(struct late_command));
     machine->created_at = rr_steady_clock_s();
     machine->up_at = machine->created_at + boot_s;
     machine->controller = g_rand_int_range(world->random, 0, world->settings.controllers);
@@ -1191,9 +1302,9 @@
 static int answer_list(struct world *world, const char *target, rr_encoder *out) {
     char from[64];
     double lag = world->settings.list_lag_s;
-    double at = rr_steady_clock_s() -
-                (g_rand_double(world->random) < 0.7 ? lag
-                                                    : g_rand_double_range(world->random, lag, 2 * lag));
+    double at = rr_steady_clock_s() - (g_rand_double(world->random) < 0.7
+                                           ? lag
+                                           : g_rand_double_range(world->random, lag, 2 * lag));
     GPtrArray *listed = g_ptr_array_new();
     http_argument(target, "from", from, sizeof from);
     for (int i = 0; i < world->machine_count; i++) {
@@ -1232,9 +1343,9 @@
     (void)length;
     pthread_mutex_lock(&world->lock);
     double now = rr_steady_clock_s();
-    world->cloud_tokens = MIN(world->cloud_tokens + (now - world->cloud_tokens_at) *
-                                                        world->settings.cloud_rps,
-                              2 * world->settings.cloud_rps);
+    world->cloud_tokens =
+        MIN(world->cloud_tokens + (now - world->cloud_tokens_at) * world->settings.cloud_rps,
+            2 * world->settings.cloud_rps);
     world->cloud_tokens_at = now;
     if (world->cloud_down) {
         status = answer_text_error(out, 503, "trouble");
@@ -1317,8 +1428,8 @@
     alarm(seconds);
 }
 
-static void write_settings(struct world *world, const struct controller *controller) {
-    const struct world_settings *settings = &world->settings;
+static void write_settings(const struct world_settings *settings, const struct world *world,
+                           const struct controller *controller) {
     GString *text = g_string_new(NULL);
     g_string_append_printf(text,
                            "node_name = \"%s\"\nzone = \"%s\"\nbind = \"127.0.0.1:%d\"\n"
@@ -1353,11 +1464,20 @@
         text,
         "[deployment.workers]\nreport_s = %.2f\nlease_s = %.2f\ngang_wait_s = %.2f\n"
         "gang_peer_s = %.2f\ncancel_s = %.2f\n[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\n"
-        "value_kb = %.1f\ntxn_ops = %d\n[deployment.cloud]\nrps = %.1f\nlist_lag_s = %.2f\n"
-        "[deployment.limits]\ncore_share = 0.24\nram_mb = 200.0\nmax_sockets = 3500\n",
+        "value_kb = %.1f\ntxn_ops = %d\n",
         settings->report_s, settings->lease_s, settings->gang_wait_s, settings->gang_peer_s,
         settings->cancel_s, settings->state_rps, settings->state_write_rps, settings->value_kb,
-        settings->txn_ops, settings->cloud_rps, settings->list_lag_s);
+        settings->txn_ops);
+    if (settings->next_value_kb > 0) {
+        g_string_append_printf(
+            text, "[deployment.state.next]\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n",
+            settings->next_write_rps, settings->next_value_kb, settings->next_txn_ops);
+    }
+    g_string_append_printf(
+        text,
+        "[deployment.cloud]\nrps = %.1f\nlist_lag_s = %.2f\n"
+        "[deployment.limits]\ncore_share = 0.24\nram_mb = 200.0\nmax_sockets = 3500\n",
+        settings->cloud_rps, settings->list_lag_s);
     g_file_set_contents(controller->settings_path, text->str, (gssize)text->len, NULL);
     g_string_free(text, TRUE);
 }
@@ -1385,8 +1505,8 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, controller->log_path,
                                      O_CREAT | O_WRONLY | O_APPEND, 0600);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
-    int rc = posix_spawn(&controller->pid, program, &actions, NULL, argv,
-                         (char **)environment->pdata);
+    int rc =
+        posix_spawn(&controller->pid, program, &actions, NULL, argv, (char **)environment->pdata);
     posix_spawn_file_actions_destroy(&actions);
     g_ptr_array_free(environment, TRUE);
     g_free(cells);
@@ -1439,9 +1559,12 @@
     if (!client) {
         client = rr_http_client_create(NULL);
     }
-    struct rr_http_call call = {.method = method, .endpoint = &endpoint, .path = path,
+    struct rr_http_call call = {.method = method,
+                                .endpoint = &endpoint,
+                                .path = path,
                                 .body = body ? body->buffer.data : NULL,
-                                .body_bytes = body ? body->buffer.size : 0, .timeout_s = timeout_s};
+                                .body_bytes = body ? body->buffer.size : 0,
+                                .timeout_s = timeout_s};
     if (standing) {
         standing[0] = 0;
     }
@@ -1533,6 +1656,20 @@
     pthread_mutex_unlock(&world->lock);
 }
 
+void world_end_tasks(struct world *world, const struct job *job, double seconds) {
+    pthread_mutex_lock(&world->lock);
+    for (int i = 0; i < world->machine_count; i++) {
+        GArray *tasks = world->machines[i]->tasks;
+        for (guint k = 0; k < tasks->len; k++) {
+            struct task *task = &g_array_index(tasks, struct task, k);
+            if (task->job == job && task->state != ENDED) {
+                task->ends_at = rr_steady_clock_s() + seconds;
+            }
+        }
+    }
+    pthread_mutex_unlock(&world->lock);
+}
+
 void world_alias_job(struct world *world, struct job *job, const char *id) {
     pthread_mutex_lock(&world->lock);
     g_hash_table_replace(world->jobs, g_strdup(id), job);
@@ -1582,13 +1719,13 @@
         controller->cloud_port = find_free_port("127.0.0.1");
         world->cloud_servers[i] =
             http_listen("127.0.0.1", controller->cloud_port, on_cloud_request, controller);
-        g_snprintf(controller->settings_path, sizeof controller->settings_path, "%s/%s.toml", folder,
-                   controller->name);
+        g_snprintf(controller->settings_path, sizeof controller->settings_path, "%s/%s.toml",
+                   folder, controller->name);
         g_snprintf(controller->log_path, sizeof controller->log_path, "%s/%s.log", folder,
                    controller->name);
     }
     for (int i = 0; i < settings->controllers; i++) {
-        write_settings(world, &world->controllers[i]);
+        write_settings(&world->settings, world, &world->controllers[i]);
     }
     pthread_create(&world->clock_thread, NULL, clock_main, world);
     pthread_mutex_lock(&world->lock);
@@ -1634,14 +1771,35 @@
         pthread_cond_broadcast(&world->changed);                                                   \
         pthread_mutex_unlock(&world->lock);                                                        \
     }
+
+void world_lower_limits(struct world *world) {
+    pthread_mutex_lock(&world->lock);
+    world->settings.state_write_rps = world->settings.next_write_rps;
+    world->settings.value_kb = world->settings.next_value_kb;
+    world->settings.txn_ops = world->settings.next_txn_ops;
+    record("state: limits are now value_kb %.1f, txn_ops %d, write_rps %.0f",
+           world->settings.value_kb, world->settings.txn_ops, world->settings.state_write_rps);
+    pthread_mutex_unlock(&world->lock);
+}
+
+void world_write_lower_settings(struct controller *controller) {
+    struct world_settings settings = controller->world->settings;
+    settings.state_write_rps = settings.next_write_rps;
+    settings.value_kb = settings.next_value_kb;
+    settings.txn_ops = settings.next_txn_ops;
+    settings.next_value_kb = 0;
+    write_settings(&settings, controller->world, controller);
+    record("controller %s: settings name the lower limits", controller->name);
+}
+
 SETTER(world_set_state_down, bool, down, world->state_down = down)
 SETTER(world_set_cloud_down, bool, down, world->cloud_down = down)
 
-#define MACHINE_SETTER(setter, field)                                                                \
-    void setter(struct world *world, int machine, bool value) {                                      \
+#define MACHINE_SETTER(setter, field)                                                              \
+    void setter(struct world *world, int machine, bool value) {                                    \
         pthread_mutex_lock(&world->lock);                                                          \
         world->machines[machine]->field = value;                                                   \
-        record(#setter ": %s %d", world->machines[machine]->name, (int)value);                       \
+        record(#setter ": %s %d", world->machines[machine]->name, (int)value);                     \
         pthread_mutex_unlock(&world->lock);                                                        \
     }
 MACHINE_SETTER(world_set_hung, hung)
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -27,12 +27,14 @@
 /* ---- jobs, as their users describe them ---- */
 
 struct job {
-    char id[64];        /* the id that its user chose */
+    char id[64]; /* the id that its user chose */
     char crew[32], lane[32], cast[32], ward[32];
     char shape[16], rank[16];
     int pieces;
     double vcpus, cards, mem_gb, pull_gb;
-    double run_s; /* true run time of a task; 0: a service */
+    double run_s;           /* true run time of a task; 0: a service */
+    int long_from, long_to; /* tasks from long_from to below long_to run for long_run_s instead */
+    double long_run_s;
     double cairn_s, stash_s;
     bool one_zone, apart, loaners;
     /* What its user has been told. */
@@ -64,34 +66,36 @@
     pid_t pid;
     double ready_at;
     /* Faults at this controller's address of the state service. */
-    bool refused;        /* 503; open watches wait */
-    bool mute;           /* requests are not answered at all */
-    double delay_s;      /* answers are held back for so long */
-    double late_share;   /* share of transactions without an answer that are carried out late */
-    double lost_share;   /* share of transactions carried out whose answer is lost */
+    bool refused;      /* 503; open watches wait */
+    bool mute;         /* requests are not answered at all */
+    double delay_s;    /* answers are held back for so long */
+    double late_share; /* share of transactions without an answer that are carried out late */
+    double lost_share; /* share of transactions carried out whose answer is lost */
 };
 
 struct world_settings {
-    const char *name;              /* prefix of names and files */
+    const char *name; /* prefix of names and files */
     int controllers;
-    const char *zones[4];          /* NULL-terminated */
+    const char *zones[4]; /* NULL-terminated */
     const char *teams[8];
     double cpus[8], cpus_max[8], gpus[8], gpus_max[8]; /* by team */
     double report_s, lease_s, cancel_s, gang_wait_s, gang_peer_s;
     double state_rps, state_write_rps, value_kb;
     int txn_ops;
+    double next_write_rps, next_value_kb; /* of deployment.state.next; 0: no such table */
+    int next_txn_ops;
     double cloud_rps, list_lag_s;
     double vcpus, cards, mem_gb, price, spot_price, startup_s, pull_gb_per_s;
     const char *sku;
-    int machines_max;              /* the cloud's capacity */
-    int machines_up;               /* up at the start, round robin over the zones */
-    const char *objectives;        /* further lines of TOML, may be NULL */
-    const char *cells_file;        /* path for RINGROCK_CELLS, may be NULL; see cells_path() */
+    int machines_max;       /* the cloud's capacity */
+    int machines_up;        /* up at the start, round robin over the zones */
+    const char *objectives; /* further lines of TOML, may be NULL */
+    const char *cells_file; /* path for RINGROCK_CELLS, may be NULL; see cells_path() */
 };
 
 struct world *world_start(const struct world_settings *settings, const char *folder);
-/* Ends the program and all controllers, with exit code 2, after so many seconds and when the program
- * is told to end by a signal. */
+/* Ends the program and all controllers, with exit code 2, after so many seconds and when the
+ * program is told to end by a signal. */
 void world_guard(unsigned seconds);
 /* Ends all processes of the cell and its stand-ins. */
 void world_stop(struct world *world);
@@ -108,8 +112,21 @@
 
 /* ---- faults of the services ---- */
 
+/* The next transaction that puts a key with this prefix is carried out and not answered. Nothing
+ * else that its controller asks of the state service is answered for so long after it, either; this
+ * includes a watch that is open then. */
+void world_lose_answers(struct world *world, const char *key_prefix, double seconds);
+/* Returns the controller whose answers were lost, or NULL if that has not happened yet. */
+struct controller *world_lost_at(struct world *world);
+/* The state service has its next limits from now on. */
+void world_lower_limits(struct world *world);
+/* Writes the controller's settings again: the next limits as the present ones. */
+void world_write_lower_settings(struct controller *controller);
 void world_set_state_down(struct world *world, bool down);
 void world_set_cloud_down(struct world *world, bool down);
+/* Each direct command that has started a task of the job reaches its machine once more, as it was
+ * sent. Returns the number of these commands. */
+int world_repeat_starts(struct world *world, const struct job *job);
 /* Share of direct commands that are held up, unanswered, and carried out later. */
 void world_set_late_commands(struct world *world, double share, double min_s, double max_s);
 /* Stops a machine's work and its network; it goes on when hung is false. */
@@ -128,6 +145,8 @@
 void world_alias_job(struct world *world, struct job *job, const char *id);
 /* Makes the job's description known to the workers, as users do. */
 void world_upload_job(struct world *world, struct job *job);
+/* The job's running tasks complete after so many seconds. */
+void world_end_tasks(struct world *world, const struct job *job, double seconds);
 /* One request to one controller. Returns the status, or -1; *standing (32 bytes) gets the answer's
  * standing, *done its number of done tasks (may be NULL). */
 int user_submit(struct controller *controller, const struct job *job);
