Log the outcome of transfer writes with the revisions of store and cache

The log line for the failed write named a number and no revision, so that it could not tell apart: the store cache lags behind the write's own effect; the record arrives and is taken wrongly; a new term makes the write void.

The line now names the status and both revisions, and a transaction that is sent again logs why.

--- a/src/app/cells_state.c
+++ b/src/app/cells_state.c
@@ -3,6 +3,7 @@
 #include "app/thread_helpers.h"
 #include "common/clock.h"
 #include "common/log.h"
+#include "core/cache_feed.h"
 #include "core/heartbeats.h"
 
 #define CONFLICT_WAIT_S 1.0 /* for the conflicting change to reach the store cache */
@@ -32,11 +33,14 @@
     }
     rr_transfer_message message =
         rr_transfers_complete_write(app->cells->transfers, write, outcome == RR_COMMIT_DONE);
+    uint64_t cache_revision = rr_core_revision(app->core);
     rr_app_wake_planner(app);
     pthread_mutex_unlock(&app->lock);
     if (outcome != RR_COMMIT_DONE) {
-        rr_log(RR_DEBUG_LEVEL, "cells: transfer of job %s: write not committed (commit status %d)",
-               write->id, (int)outcome);
+        rr_log(RR_DEBUG_LEVEL,
+               "cells: write for the transfer of job %s: %s; store at revision %" G_GUINT64_FORMAT
+               ", store cache at %" G_GUINT64_FORMAT,
+               write->id, rr_commit_status_name(outcome), revision, cache_revision);
     }
     return message;
 }
--- a/src/app/thread_helpers.c
+++ b/src/app/thread_helpers.c
@@ -1,5 +1,6 @@
 #include "app/thread_helpers.h"
 #include "common/clock.h"
+#include "common/log.h"
 #include "core/cache_feed.h"
 #include "core/leadership.h"
 
@@ -108,6 +109,8 @@
             return status;
         }
         outcome_unknown = outcome_unknown || status == RR_COMMIT_OUTCOME_UNKNOWN;
+        rr_log(RR_DEBUG_LEVEL, "transaction with %u changes: %s, sending it again",
+               transaction->changes->len, rr_commit_status_name(status));
         rr_app_pause(app, COMMIT_RETRY_PAUSE_S);
     }
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -35,6 +35,9 @@
     RR_COMMIT_INVALID          /* not executed: beyond the store's limits; no retry can succeed */
 };
 
+/* Returns the status's name for log lines. */
+const char *rr_commit_status_name(enum rr_commit_status status);
+
 /* Sends a transaction to the store, once. *revision receives the store's revision with
  * RR_COMMIT_DONE and RR_COMMIT_CONFLICT. With RR_COMMIT_CONFLICT, copies of the keys whose guards
  * did not hold (char*) are appended to failed_keys, which may be NULL. */
--- a/src/store/store_commit.c
+++ b/src/store/store_commit.c
@@ -4,6 +4,18 @@
 
 #include <errno.h>
 
+const char *rr_commit_status_name(enum rr_commit_status status) {
+    static const char *const names[] = {
+        [RR_COMMIT_DONE] = "executed",
+        [RR_COMMIT_CONFLICT] = "conflict",
+        [RR_COMMIT_REFUSED] = "refused",
+        [RR_COMMIT_OUTCOME_UNKNOWN] = "outcome unknown",
+        [RR_COMMIT_NO_LEASE] = "lease has ended",
+        [RR_COMMIT_INVALID] = "beyond the limits",
+    };
+    return names[status];
+}
+
 static void copy_failed_keys(const msgpack_object *reply, GPtrArray *failed_keys) {
     const msgpack_object *list = rr_map_get(reply, RR_WORD_FAILED);
     if (!list || list->type != MSGPACK_OBJECT_ARRAY) {
