Cells: keep a transfer's write pending until its outcome is known

What callers saw: a job ran in two cells.

Cause: a transaction without an answer is sent again, and its second attempt meets the conflict that the first one has caused. rr_app_cells_commit_write() waited for the store cache for 1 s and then reported "not committed" although the cache did not show the record; the home concluded from version 0 that there was no record, and dropped the hold.

Change: a write's outcome is committed, not committed, or unknown. With an unknown one the write, and the job's hold, stay until the store cache has reached the conflict's revision or a later term; then the cached record decides, and the write's own record counts as written. Why this suffices: every such transaction is guarded by the term and by what it writes, so that by then it was executed or never will be. rr_app_commit_with_retry() no longer calls a transaction refused, or beyond new limits, after an attempt without an answer. Deletions that arrive during a write are kept.

Ruled out: to wait for teardown_s before an offer is taken from an absent home's store (it would hide the fault and delay every such job); to read the record from the store (a second order of changes beside the watch).

The test's fake services now search whole bodies.

--- a/src/app/admission_thread.c
+++ b/src/app/admission_thread.c
@@ -124,9 +124,8 @@
         rr_app_apply_committed_transaction(app, transaction, outcome, revision);
         pthread_mutex_unlock(&app->lock);
     } else {
-        rr_log(RR_INFO_LEVEL,
-               "admission: table %" G_GUINT64_FORMAT " was not written, commit status %d",
-               table->sequence, (int)outcome);
+        rr_log(RR_INFO_LEVEL, "admission: table %" G_GUINT64_FORMAT " was not written: %s",
+               table->sequence, rr_commit_status_name(outcome));
     }
     return outcome == RR_COMMIT_DONE;
 }
--- a/src/app/cells.c
+++ b/src/app/cells.c
@@ -112,17 +112,18 @@
     rr_transfers_get_stats(app->cells->transfers, &stats);
     pthread_mutex_unlock(&app->lock);
     rr_cells_server_get_stats(app->cells->server, &server_stats);
-    rr_log(RR_INFO_LEVEL,
-           "cells: %s; %u jobs of this cell transferred or returned, %u jobs of other cells here; "
-           "totals of this cell's jobs: offered %" G_GUINT64_FORMAT ", taken %" G_GUINT64_FORMAT
-           ", refused %" G_GUINT64_FORMAT ", finished by other cells %" G_GUINT64_FORMAT
-           ", withdrawn %" G_GUINT64_FORMAT "; of other cells' jobs: accepted %" G_GUINT64_FORMAT
-           ", given back %" G_GUINT64_FORMAT ", grants lapsed %" G_GUINT64_FORMAT
-           "; grants given %" G_GUINT64_FORMAT ", jobs claimed %" G_GUINT64_FORMAT
-           "; connections of unknown peers %" G_GUINT64_FORMAT
-           ", refused requests %" G_GUINT64_FORMAT,
-           stats.spilling ? "spilling" : "not spilling", stats.outgoing, stats.incoming,
-           stats.offered, stats.taken, stats.refused, stats.finished, stats.withdrawn,
-           stats.accepted, stats.given_back, stats.lapsed, stats.granted, stats.claimed,
-           server_stats.unknown_peer_connections, server_stats.refused_requests);
+    rr_log(
+        RR_INFO_LEVEL,
+        "cells: %s; %u jobs of this cell transferred or returned, %u jobs of other cells here; "
+        "totals of this cell's jobs: offered %" G_GUINT64_FORMAT ", taken %" G_GUINT64_FORMAT
+        ", refused %" G_GUINT64_FORMAT ", finished by other cells %" G_GUINT64_FORMAT
+        ", withdrawn %" G_GUINT64_FORMAT "; of other cells' jobs: accepted %" G_GUINT64_FORMAT
+        ", given back %" G_GUINT64_FORMAT ", grants lapsed %" G_GUINT64_FORMAT
+        "; grants given %" G_GUINT64_FORMAT ", jobs claimed %" G_GUINT64_FORMAT
+        ", writes with an unknown outcome %" G_GUINT64_FORMAT
+        "; connections of unknown peers %" G_GUINT64_FORMAT ", refused requests %" G_GUINT64_FORMAT,
+        stats.spilling ? "spilling" : "not spilling", stats.outgoing, stats.incoming, stats.offered,
+        stats.taken, stats.refused, stats.finished, stats.withdrawn, stats.accepted,
+        stats.given_back, stats.lapsed, stats.granted, stats.claimed, stats.unknown_outcomes,
+        server_stats.unknown_peer_connections, server_stats.refused_requests);
 }
--- a/src/app/thread_helpers.c
+++ b/src/app/thread_helpers.c
@@ -87,8 +87,8 @@
 }
 
 /* A transaction without an answer may still be executed late; a task that is placed again meanwhile
- * would then be recorded twice. Sending the same transaction again makes the outcome certain: it
- * changes the keys that it guards, so its guards hold at most once. */
+ * would then be recorded twice. Sending the same transaction again until it is answered prevents
+ * that: it changes the keys that it guards, so its guards hold at most once. */
 enum rr_commit_status rr_app_commit_with_retry(struct rr_app *app, rr_store *store,
                                                enum rr_request_priority priority,
                                                const rr_transaction *transaction,
@@ -103,12 +103,12 @@
         }
         if (status == RR_COMMIT_INVALID) {
             switch_to_next_limits(app, outcome_unknown);
-            return status;
-        }
-        if (rr_app_is_stopping(app) || (status == RR_COMMIT_REFUSED && !outcome_unknown)) {
-            return status;
+            return outcome_unknown ? RR_COMMIT_OUTCOME_UNKNOWN : status;
         }
         outcome_unknown = outcome_unknown || status == RR_COMMIT_OUTCOME_UNKNOWN;
+        if (rr_app_is_stopping(app) || !outcome_unknown) {
+            return outcome_unknown ? RR_COMMIT_OUTCOME_UNKNOWN : status;
+        }
         rr_log(RR_DEBUG_LEVEL, "transaction with %u changes: %s, sending it again",
                transaction->changes->len, rr_commit_status_name(status));
         rr_app_pause(app, COMMIT_RETRY_PAUSE_S);
--- a/src/app/thread_helpers.h
+++ b/src/app/thread_helpers.h
@@ -27,10 +27,16 @@
 /* Creates a store client for the calling thread, which destroys it with rr_store_destroy(). NULL if
  * no HTTP client can be created. */
 rr_store *rr_app_create_store_client(struct rr_app *app);
-/* Commits a transaction, retrying until its outcome is certain. Returns RR_COMMIT_OUTCOME_UNKNOWN
- * only if the process is stopping, and RR_COMMIT_REFUSED only then or if no attempt can have been
- * executed. Sets *revision to the transaction's revision or, after a conflict, to the store's.
- * Takes `lock`; caller holds no lock. */
+/* Commits a transaction, retrying until an attempt is answered. Takes `lock`; caller holds no lock.
+ *
+ * RR_COMMIT_CONFLICT: an earlier attempt, which got no answer, may have been executed and have
+ * caused the conflict. The store cache shows this once it has reached *revision, the store's; no
+ * caller may conclude from the conflict alone that nothing was written.
+ * RR_COMMIT_OUTCOME_UNKNOWN: an attempt got no answer, and the transaction can't be sent again as
+ * it is beyond the store's limits (a new term then keeps it from being executed later, and the
+ * store cache shows the outcome once it has reached that term), or the process is stopping.
+ * RR_COMMIT_REFUSED, RR_COMMIT_INVALID: no attempt was executed. RR_COMMIT_DONE: *revision is the
+ * transaction's. */
 enum rr_commit_status rr_app_commit_with_retry(struct rr_app *app, rr_store *store,
                                                enum rr_request_priority priority,
                                                const rr_transaction *transaction,
--- a/src/cells/incoming.h
+++ b/src/cells/incoming.h
@@ -26,7 +26,10 @@
                                         rr_transfers_plan *plan);
 /* As rr_transfers_complete_write(), for a write of an incoming job. */
 rr_transfer_message rr_incoming_complete_write(rr_transfers *transfers,
-                                               const rr_transfer_write *write, bool committed);
+                                               const rr_transfer_write *write,
+                                               const rr_write_outcome *outcome, double now);
+/* Completes the writes whose unknown outcome the store cache shows by now. */
+void rr_incoming_resolve_writes(rr_transfers *transfers, double now);
 
 /* ---- incoming_offers.c ---- */
 
--- a/src/cells/incoming_records.c
+++ b/src/cells/incoming_records.c
@@ -2,6 +2,7 @@
  * writes that change these. */
 #include "cells/incoming.h"
 #include "core/extensions.h"
+#include "core/leadership.h"
 
 #include <string.h>
 
@@ -26,6 +27,17 @@
     g_hash_table_remove(transfers->incoming, local_id);
 }
 
+/* Takes the deletion of the entry's record. While a write is pending, its completion removes the
+ * entry. */
+static void apply_deletion(rr_transfers *transfers, rr_incoming *entry, uint64_t version) {
+    if (entry->guest.write_pending) {
+        entry->deleted = true;
+        entry->version = version;
+    } else {
+        remove_entry(transfers, entry->local_id);
+    }
+}
+
 void rr_incoming_apply_record(rr_transfers *transfers, const char *local_id,
                               const msgpack_object *value, uint64_t version) {
     rr_incoming_record record;
@@ -34,8 +46,8 @@
         return;
     }
     if (!value) {
-        if (entry && !entry->guest.write_pending) {
-            remove_entry(transfers, local_id);
+        if (entry) {
+            apply_deletion(transfers, entry, version);
         }
         return;
     }
@@ -46,6 +58,7 @@
     entry = rr_incoming_get(transfers, local_id);
     entry->record = record;
     entry->version = version;
+    entry->deleted = false;
     entry->neighbour = rr_cells_find_neighbour(transfers->settings, record.home);
     rr_core_hold_job(transfers->core, local_id, RR_HOLD_GUEST);
     if (!entry->guest.write_pending && entry->guest.record.state != record.state) {
@@ -107,25 +120,74 @@
     }
 }
 
-rr_transfer_message rr_incoming_complete_write(rr_transfers *transfers,
-                                               const rr_transfer_write *write, bool committed) {
-    rr_incoming *entry = g_hash_table_lookup(transfers->incoming, write->id);
-    if (!entry || write->cancels_copy) {
-        return no_message;
+/* Marks the state machine to be loaded again, or removes the entry if there is no record: none was
+ * written, or it was deleted. */
+static void handle_failed_write(rr_transfers *transfers, rr_incoming *entry) {
+    entry->loaded_token = 0;
+    if (entry->version == 0 || entry->deleted) {
+        remove_entry(transfers, entry->local_id);
     }
+}
+
+/* Ends the entry's pending write. */
+static void finish_write(rr_transfers *transfers, rr_incoming *entry, bool committed, double now) {
     bool accepts_offer = entry->guest.pending_record.state == RR_GUEST_HELD;
     rr_guest_complete_write(&entry->guest, committed);
     if (!committed) {
-        entry->loaded_token = 0;
-        if (entry->version == 0) {
-            /* The acceptance was not written, so that there is no record. */
-            remove_entry(transfers, write->id);
-        }
-        return no_message;
+        handle_failed_write(transfers, entry);
+        return;
+    }
+    if (accepts_offer) {
+        transfers->stats.accepted++;
+        entry->loaded_at = now; /* the time for the first grant begins with the acceptance */
     }
-    transfers->stats.accepted += accepts_offer;
     if (entry->guest.record.state == RR_GUEST_NONE) {
-        remove_entry(transfers, write->id);
+        remove_entry(transfers, entry->local_id);
+    }
+}
+
+/* Returns whether the store cache shows the record that the pending write stores. In the term for
+ * which the state machine was loaded, no other controller writes such a record. */
+static bool pending_record_is_cached(const rr_incoming *entry) {
+    const rr_guest_record *pending = &entry->guest.pending_record;
+    if (pending->state == RR_GUEST_NONE || entry->deleted || entry->version == 0) {
+        return pending->state == RR_GUEST_NONE && entry->deleted;
+    }
+    return entry->record.state == pending->state && entry->record.claim == pending->claim &&
+           entry->record.answer == pending->answer;
+}
+
+/* Completes the write as the store cache shows it, or leaves it pending while the cache can't show
+ * it yet. After a change of the term the record is loaded again. */
+static void resolve_write(rr_transfers *transfers, rr_incoming *entry, double now) {
+    if (rr_transfers_end_wait_if_shown(transfers, &entry->unresolved)) {
+        bool same_term = entry->loaded_token == rr_core_fencing_token(transfers->core);
+        finish_write(transfers, entry, same_term && pending_record_is_cached(entry), now);
+    }
+}
+
+rr_transfer_message rr_incoming_complete_write(rr_transfers *transfers,
+                                               const rr_transfer_write *write,
+                                               const rr_write_outcome *outcome, double now) {
+    rr_incoming *entry = g_hash_table_lookup(transfers->incoming, write->id);
+    if (!entry || write->cancels_copy) {
+        return no_message; /* the copy's own record shows whether it was cancelled */
+    }
+    if (outcome->status == RR_WRITE_OUTCOME_UNKNOWN) {
+        rr_transfers_await_outcome(transfers, &entry->unresolved, outcome->revision,
+                                   entry->loaded_token);
+        resolve_write(transfers, entry, now);
+    } else {
+        finish_write(transfers, entry, outcome->status == RR_WRITE_COMMITTED, now);
     }
     return no_message;
 }
+
+/* resolve_write() as a callback. */
+static void resolve_entry(rr_transfers *transfers, void *entry, double now) {
+    resolve_write(transfers, entry, now);
+}
+
+void rr_incoming_resolve_writes(rr_transfers *transfers, double now) {
+    rr_transfers_foreach_if_unresolved(transfers, transfers->incoming, resolve_entry, now);
+}
--- a/src/cells/outgoing.h
+++ b/src/cells/outgoing.h
@@ -29,7 +29,10 @@
                             rr_transfers_plan *plan);
 /* As rr_transfers_complete_write(), for a write of an outgoing job. */
 rr_transfer_message rr_outgoing_complete_write(rr_transfers *transfers,
-                                               const rr_transfer_write *write, bool committed);
+                                               const rr_transfer_write *write,
+                                               const rr_write_outcome *outcome, double now);
+/* Completes the writes whose unknown outcome the store cache shows by now. */
+void rr_outgoing_resolve_writes(rr_transfers *transfers, double now);
 
 /* ---- outgoing_offers.c ---- */
 
--- a/src/cells/outgoing_records.c
+++ b/src/cells/outgoing_records.c
@@ -43,6 +43,17 @@
                                           entry->home.record.claim != entry->record.claim);
 }
 
+/* Takes the deletion of the entry's record. While a write is pending, its completion removes the
+ * entry. */
+static void apply_deletion(rr_transfers *transfers, rr_outgoing *entry, uint64_t version) {
+    if (entry->home.write_pending) {
+        entry->deleted = true;
+        entry->version = version;
+    } else {
+        rr_outgoing_remove(transfers, entry->job_id);
+    }
+}
+
 void rr_outgoing_apply_record(rr_transfers *transfers, const char *job_id,
                               const msgpack_object *value, uint64_t version) {
     rr_outgoing_record record;
@@ -51,8 +62,8 @@
         return;
     }
     if (!value) {
-        if (entry && !entry->home.write_pending) {
-            rr_outgoing_remove(transfers, job_id);
+        if (entry) {
+            apply_deletion(transfers, entry, version);
         }
         return;
     }
@@ -63,6 +74,7 @@
     entry = rr_outgoing_get(transfers, job_id);
     entry->record = record;
     entry->version = version;
+    entry->deleted = false;
     entry->neighbour = rr_cells_find_neighbour(transfers->settings, record.guest);
     set_hold_from_record(transfers, entry);
     if (record_differs_from_state_machine(entry)) {
@@ -170,33 +182,84 @@
  * changed the record. */
 static void handle_failed_write(rr_transfers *transfers, rr_outgoing *entry) {
     entry->loaded_token = 0;
-    if (entry->version == 0) {
-        /* The first offer was not written, so that there is no record. */
+    if (entry->version == 0 || entry->deleted) {
+        /* There is no record: none was written, or another controller has ended the transfer. */
         rr_outgoing_remove(transfers, entry->job_id);
     } else {
         set_hold_from_record(transfers, entry);
     }
 }
 
-rr_transfer_message rr_outgoing_complete_write(rr_transfers *transfers,
-                                               const rr_transfer_write *write, bool committed) {
-    rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, write->id);
-    if (!entry) {
-        return no_message;
-    }
+static void count_committed_write(rr_transfers_stats *stats, enum rr_home_state before,
+                                  enum rr_home_state after) {
+    bool was_offered = before == RR_HOME_OFFERED;
+    stats->offered += after == RR_HOME_OFFERED;
+    stats->withdrawn += was_offered && after == RR_HOME_LOCAL;
+    stats->finished += was_offered && after == RR_HOME_FINAL;
+}
+
+/* Ends the entry's pending write. Returns the message that follows. */
+static rr_transfer_message finish_write(rr_transfers *transfers, rr_outgoing *entry, bool committed,
+                                        double now) {
     enum rr_home_state before = entry->home.record.state;
     rr_home_step step = rr_home_complete_write(&entry->home, committed);
     if (!committed) {
         handle_failed_write(transfers, entry);
         return no_message;
     }
-    enum rr_home_state state = entry->home.record.state;
-    bool was_offered = before == RR_HOME_OFFERED;
-    transfers->stats.offered += state == RR_HOME_OFFERED;
-    transfers->stats.withdrawn += was_offered && state == RR_HOME_LOCAL;
-    transfers->stats.finished += was_offered && state == RR_HOME_FINAL;
-    if (state == RR_HOME_FINAL) {
-        rr_outgoing_remove(transfers, write->id);
+    enum rr_home_state after = entry->home.record.state;
+    count_committed_write(&transfers->stats, before, after);
+    if (after == RR_HOME_OFFERED) {
+        entry->last_received_at = now; /* the guest's time to answer begins with the offer */
+    }
+    if (after == RR_HOME_FINAL) {
+        rr_outgoing_remove(transfers, entry->job_id);
     }
     return step.message;
 }
+
+/* Returns whether the store cache shows the record that the pending write stores. In the term for
+ * which the state machine was loaded, no other controller writes such a record. */
+static bool pending_record_is_cached(const rr_outgoing *entry) {
+    const rr_home_record *pending = &entry->home.pending_record;
+    if (pending->state == RR_HOME_FINAL || entry->deleted || entry->version == 0) {
+        return pending->state == RR_HOME_FINAL && entry->deleted;
+    }
+    rr_home_record cached = make_home_record(entry);
+    return cached.state == pending->state && cached.claim == pending->claim &&
+           cached.guest == pending->guest;
+}
+
+/* Completes the write as the store cache shows it, or leaves it pending while the cache can't show
+ * it yet. After a change of the term the record is loaded again. */
+static rr_transfer_message resolve_write(rr_transfers *transfers, rr_outgoing *entry, double now) {
+    if (!rr_transfers_end_wait_if_shown(transfers, &entry->unresolved)) {
+        return no_message;
+    }
+    bool same_term = entry->loaded_token == rr_core_fencing_token(transfers->core);
+    return finish_write(transfers, entry, same_term && pending_record_is_cached(entry), now);
+}
+
+rr_transfer_message rr_outgoing_complete_write(rr_transfers *transfers,
+                                               const rr_transfer_write *write,
+                                               const rr_write_outcome *outcome, double now) {
+    rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, write->id);
+    if (!entry) {
+        return no_message;
+    }
+    if (outcome->status != RR_WRITE_OUTCOME_UNKNOWN) {
+        return finish_write(transfers, entry, outcome->status == RR_WRITE_COMMITTED, now);
+    }
+    rr_transfers_await_outcome(transfers, &entry->unresolved, outcome->revision,
+                               entry->loaded_token);
+    return resolve_write(transfers, entry, now);
+}
+
+/* resolve_write() as a callback; the message that follows is sent by the next pass. */
+static void resolve_entry(rr_transfers *transfers, void *entry, double now) {
+    resolve_write(transfers, entry, now);
+}
+
+void rr_outgoing_resolve_writes(rr_transfers *transfers, double now) {
+    rr_transfers_foreach_if_unresolved(transfers, transfers->outgoing, resolve_entry, now);
+}
--- a/src/cells/transfer.h
+++ b/src/cells/transfer.h
@@ -94,9 +94,9 @@
 rr_home_step rr_home_withdraw(rr_home *home);
 /* Requests the write that records the job as ended with this answer. */
 rr_home_step rr_home_end(rr_home *home, enum rr_job_answer answer);
-/* Takes the outcome of the pending write and returns the message that follows from it. committed
- * false: there was a conflict, or the outcome is unknown; the record has to be read and loaded
- * again. */
+/* Takes the outcome of the pending write and returns the message that follows from it. Not to be
+ * called before the outcome is known. committed false: the write was not executed, or in an earlier
+ * term; the record has to be loaded again. */
 rr_home_step rr_home_complete_write(rr_home *home, bool committed);
 /* Takes a message from the guest `from`. */
 rr_home_step rr_home_receive(rr_home *home, uint32_t from, const rr_transfer_message *message,
--- a/src/cells/transfer_table.c
+++ b/src/cells/transfer_table.c
@@ -38,6 +38,39 @@
            (entry_neighbour == RR_CELLS_NO_NEIGHBOUR && neighbour == 0);
 }
 
+/* ---- writes with an unknown outcome ---- */
+
+void rr_transfers_await_outcome(rr_transfers *transfers, rr_unresolved_write *unresolved,
+                                uint64_t revision, uint64_t fencing_token) {
+    unresolved->waits = true;
+    unresolved->point = (rr_outcome_point){revision, fencing_token};
+    transfers->unresolved++;
+    transfers->stats.unknown_outcomes++;
+}
+
+bool rr_transfers_end_wait_if_shown(rr_transfers *transfers, rr_unresolved_write *unresolved) {
+    bool shown =
+        unresolved->waits && rr_core_cache_shows_outcome(transfers->core, &unresolved->point);
+    if (shown) {
+        unresolved->waits = false;
+        transfers->unresolved--;
+    }
+    return shown;
+}
+
+void rr_transfers_foreach_if_unresolved(rr_transfers *transfers, GHashTable *table,
+                                        rr_transfers_entry_fn callback, double now) {
+    if (transfers->unresolved == 0) {
+        return;
+    }
+    /* A table must not change during an iteration. */
+    GList *entries = g_hash_table_get_values(table);
+    for (const GList *item = entries; item; item = item->next) {
+        callback(transfers, item->data, now);
+    }
+    g_list_free(entries);
+}
+
 /* ---- writes and plans ---- */
 
 void rr_transfer_write_clear(gpointer write) {
--- a/src/cells/transfer_table.h
+++ b/src/cells/transfer_table.h
@@ -5,6 +5,7 @@
 
 #include "cells/spill.h"
 #include "cells/transfers.h"
+#include "core/cache_feed.h"
 
 /* Grants are given only by a store cache younger than this: an older one may miss that a job was
  * withdrawn. */
@@ -14,12 +15,20 @@
 /* In place of a neighbour's index: the other cell has been removed from the settings. */
 #define RR_CELLS_NO_NEIGHBOUR (-1)
 
+/* The write of an entry's record whose commit has ended with an unknown outcome. */
+typedef struct {
+    bool waits; /* the store cache does not show the outcome yet */
+    rr_outcome_point point;
+} rr_unresolved_write;
+
 /* A job of this cell that was offered to another. */
 typedef struct {
     char job_id[RR_ID_SIZE];
     rr_outgoing_record record; /* as the store cache has it */
     uint64_t version;          /* the record's; 0: it does not exist yet */
+    bool deleted;              /* the record was deleted, at this version, during a write of it */
     rr_home home;
+    rr_unresolved_write unresolved;
     /* Fencing token of the term for which `home` was loaded; 0: load it first. */
     uint64_t loaded_token;
     int neighbour; /* index of the guest, or RR_CELLS_NO_NEIGHBOUR */
@@ -36,7 +45,9 @@
     /* As the store cache has it; team, home and job_id if version is 0. */
     rr_incoming_record record;
     uint64_t version; /* the record's; 0: it does not exist yet */
+    bool deleted;     /* the record was deleted, at this version, during a write of it */
     rr_guest guest;
+    rr_unresolved_write unresolved;
     /* Fencing token of the term for which `guest` was loaded; 0: load it first. */
     uint64_t loaded_token;
     int neighbour;       /* index of the home, or RR_CELLS_NO_NEIGHBOUR */
@@ -53,6 +64,7 @@
     uint64_t process;       /* unique for this process: see rr_transfers_create() */
     GHashTable *outgoing;   /* job id -> rr_outgoing, owned */
     GHashTable *incoming;   /* local id -> rr_incoming, owned */
+    unsigned unresolved;    /* entries whose write has an unknown outcome */
     rr_spill spill;         /* whether this cell offers jobs */
     double longest_wait_s;  /* of this cell's own jobs that a neighbour would take */
     rr_cells_room room;     /* free here at room_updated_at, less what was taken since */
@@ -80,6 +92,17 @@
 /* Moves the write into the plan, which then owns its transaction. */
 void rr_transfers_plan_add_write(rr_transfers_plan *plan, const rr_transfer_write *write);
 
+/* Makes the entry wait until the store cache shows the outcome of its write. */
+void rr_transfers_await_outcome(rr_transfers *transfers, rr_unresolved_write *unresolved,
+                                uint64_t revision, uint64_t fencing_token);
+/* Returns true, and ends the wait, if the entry waits and the store cache now shows the outcome. */
+bool rr_transfers_end_wait_if_shown(rr_transfers *transfers, rr_unresolved_write *unresolved);
+/* Calls back for every entry of the table if any write has an unknown outcome. The callback may
+ * remove its entry. */
+typedef void (*rr_transfers_entry_fn)(rr_transfers *transfers, void *entry, double now);
+void rr_transfers_foreach_if_unresolved(rr_transfers *transfers, GHashTable *table,
+                                        rr_transfers_entry_fn callback, double now);
+
 /* Returns whether an entry is advanced together with this neighbour's transfers: each entry
  * advances with its own neighbour, or with the first one if it has none (RR_CELLS_NO_NEIGHBOUR). */
 bool rr_transfers_entry_advances_with(int entry_neighbour, size_t neighbour);
--- a/src/cells/transfers.c
+++ b/src/cells/transfers.c
@@ -47,6 +47,8 @@
     if (!rr_core_cache_consistent(transfers->core) || !rr_core_lease_valid(transfers->core, now)) {
         return;
     }
+    rr_incoming_resolve_writes(transfers, now);
+    rr_outgoing_resolve_writes(transfers, now);
     rr_incoming_advance(transfers, neighbour, now, plan);
     rr_outgoing_advance(transfers, neighbour, now, wall, plan);
     if (may_offer && rr_core_all_members_support_holds(transfers->core)) {
@@ -55,9 +57,10 @@
 }
 
 rr_transfer_message rr_transfers_complete_write(rr_transfers *transfers,
-                                                const rr_transfer_write *write, bool committed) {
-    return write->outgoing ? rr_outgoing_complete_write(transfers, write, committed)
-                           : rr_incoming_complete_write(transfers, write, committed);
+                                                const rr_transfer_write *write,
+                                                const rr_write_outcome *outcome, double now) {
+    return write->outgoing ? rr_outgoing_complete_write(transfers, write, outcome, now)
+                           : rr_incoming_complete_write(transfers, write, outcome, now);
 }
 
 bool rr_transfers_receive_message(rr_transfers *transfers, size_t neighbour,
--- a/src/cells/transfers.h
+++ b/src/cells/transfers.h
@@ -65,11 +65,27 @@
 void rr_transfers_advance(rr_transfers *transfers, size_t neighbour, bool may_offer, double now,
                           double wall, rr_transfers_plan *plan);
 
-/* Takes a write's outcome, after the core has taken its changes. Returns the message that follows;
- * NOTHING: none. If a message caused the write, the returned one goes into the reply to it;
- * otherwise it may be dropped, as the next pass sends it again. */
+/* What is known of a write when its commit has ended. */
+enum rr_write_status {
+    RR_WRITE_COMMITTED,      /* the core has taken its changes */
+    RR_WRITE_NOT_COMMITTED,  /* it was not sent, or refused before it was executed */
+    RR_WRITE_OUTCOME_UNKNOWN /* it may have been executed */
+};
+
+typedef struct {
+    enum rr_write_status status;
+    /* With RR_WRITE_OUTCOME_UNKNOWN: the store's revision when it answered with a conflict, which
+     * an earlier attempt of the same write may have caused; 0: there was no conflict. */
+    uint64_t revision;
+} rr_write_outcome;
+
+/* Takes a write's outcome. An unknown one leaves the write pending until the store cache shows what
+ * was executed; then a later call of rr_transfers_advance() completes it. Returns the message that
+ * follows; NOTHING: none. If a message caused the write, the returned one goes into the reply to
+ * it; otherwise it may be dropped, as the next pass sends it again. */
 rr_transfer_message rr_transfers_complete_write(rr_transfers *transfers,
-                                                const rr_transfer_write *write, bool committed);
+                                                const rr_transfer_write *write,
+                                                const rr_write_outcome *outcome, double now);
 
 /* ---- messages ---- */
 
@@ -155,6 +171,7 @@
     uint64_t lapsed;             /* jobs given back because their grant had run out */
     uint64_t claimed;            /* jobs claimed from cells without controllers */
     uint64_t unreadable_records; /* records that could not be read */
+    uint64_t unknown_outcomes;   /* writes whose outcome only the store cache could show */
     bool spilling;               /* this cell offers jobs now */
 } rr_transfers_stats;
 /* Copies the counters and the present state to *out. */
--- a/src/core/cache_feed.h
+++ b/src/core/cache_feed.h
@@ -34,6 +34,18 @@
 /* Returns the revision that the watch has reached. */
 uint64_t rr_core_revision(const rr_core *core);
 
+/* From when on the store cache shows whether a transaction of this controller was executed. The
+ * transaction is guarded by the term's record, and its commit has ended, so that it is executed by
+ * then or never. */
+typedef struct {
+    uint64_t revision;      /* the store's, when it answered with a conflict; 0: it did not */
+    uint64_t fencing_token; /* of the term that guards the transaction */
+} rr_outcome_point;
+
+/* Whether the cache shows every change up to the conflict, or a later term than the transaction's.
+ * Before that, a record that the cache lacks may exist. */
+bool rr_core_cache_shows_outcome(const rr_core *core, const rr_outcome_point *point);
+
 /* Applies the next limits of the settings from now on. To be called when the store has refused a
  * transaction that is valid under the present limits. outcome_unknown: an earlier copy of the
  * transaction went unanswered and may still be committed. A new term is then requested to void that
--- a/src/core/state/cache_progress.c
+++ b/src/core/state/cache_progress.c
@@ -21,6 +21,12 @@
     return core->stored.revision;
 }
 
+bool rr_core_cache_shows_outcome(const rr_core *core, const rr_outcome_point *point) {
+    bool reached_conflict = point->revision > 0 && core->stored.revision >= point->revision;
+    bool reached_later_term = core->membership.term.token > point->fencing_token;
+    return rr_core_cache_consistent(core) && (reached_conflict || reached_later_term);
+}
+
 void rr_core_set_cache_current(rr_core *core, double current_as_of) {
     core->stored.current_as_of =
         current_as_of > core->stored.current_as_of ? current_as_of : core->stored.current_as_of;
--- a/tests/cell_pair.c
+++ b/tests/cell_pair.c
@@ -139,6 +139,11 @@
     cell_plan_with_task_state(cell, job_id, "running");
 }
 
+void cell_set_watch_stuck(struct test_cell *cell, bool stuck) {
+    cell->store->watch_stuck = stuck;
+    fake_store_sync(cell->store, cell->controller.core, cell->controller.now);
+}
+
 void cell_submit_job(struct test_cell *cell, const struct test_job *job) {
     fake_store_submit(cell->store, job, cell->controller.now);
     fake_store_sync(cell->store, cell->controller.core, cell->controller.now);
@@ -157,16 +162,31 @@
 
 /* ---- commits and message delivery ---- */
 
-/* Commits a write to the cell's own store and returns the message that follows. refuse: the commit
- * fails. */
+/* Sends the transaction until it is answered, and returns what is then known of its outcome. */
+static rr_write_outcome commit_until_answered(struct test_cell *cell,
+                                              const rr_transaction *transaction) {
+    int rc = fake_store_commit(cell->store, transaction);
+    if (cell->lose_next_answer) {
+        cell->lose_next_answer = false;
+        rc = fake_store_commit(cell->store, transaction);
+    }
+    return rc == 0 ? (rr_write_outcome){.status = RR_WRITE_COMMITTED}
+                   : (rr_write_outcome){RR_WRITE_OUTCOME_UNKNOWN, cell->store->revision};
+}
+
+/* Commits a write to the cell's own store and returns the message that follows. refuse: the store
+ * refuses the commit. */
 static rr_transfer_message commit_write(struct test_cell *cell, const rr_transfer_write *write,
                                         bool refuse) {
+    rr_write_outcome outcome = {.status = RR_WRITE_NOT_COMMITTED};
     if (cell->on_write) {
         cell->on_write(cell->watcher, write);
     }
-    bool succeeded = !refuse && fake_store_commit(cell->store, &write->transaction) == 0;
+    if (!refuse) {
+        outcome = commit_until_answered(cell, &write->transaction);
+    }
     fake_store_sync(cell->store, cell->controller.core, cell->controller.now);
-    return rr_transfers_complete_write(cell->transfers, write, succeeded);
+    return rr_transfers_complete_write(cell->transfers, write, &outcome, cell->controller.now);
 }
 
 /* Delivers a request as a packed frame. The target handles its messages and commits what follows;
--- a/tests/cell_pair.h
+++ b/tests/cell_pair.h
@@ -19,6 +19,8 @@
     uint64_t session_id; /* of the controller's session; rises each time a session is opened */
     int machine_count;   /* vm-1 to vm-<machine_count>, which send a heartbeat before each plan */
     uint64_t heartbeat_sequence;
+    /* The next commit is executed, but gets no answer; when sent again, it meets a conflict. */
+    bool lose_next_answer;
     /* Optional callbacks for what the transfers module puts out: its writes, its requests as packed
      * frames, and its replies to requests. NULL: not called. */
     void (*on_write)(void *watcher, const rr_transfer_write *write);
@@ -95,6 +97,8 @@
                                    const char *task_state);
 /* As cell_plan_with_task_state(), with running tasks. */
 void cell_plan(struct test_cell *cell, const char *job_id);
+/* Lets the cell's watch deliver changes again, or not. */
+void cell_set_watch_stuck(struct test_cell *cell, bool stuck);
 /* Stores a submission of the job and brings the cell's core up to date. */
 void cell_submit_job(struct test_cell *cell, const struct test_job *job);
 /* Copies the core's state of the job to *out. Returns false if the core has no such job. */
--- a/tests/fake_services.c
+++ b/tests/fake_services.c
@@ -2,6 +2,8 @@
  * failures. */
 #include "fake_services_internal.h"
 
+#include "common/clock.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -24,18 +26,36 @@
     return 404;
 }
 
+static bool contains_text(const GByteArray *body, const char *text) {
+    return memmem(body->data, body->len, text, strlen(text)) != NULL;
+}
+
 /* Returns whether the answer to this request is dropped: it is the first commit of a job's record
  * since a test asked for that. Clears the test's request then. */
 static bool consume_answer_drop(struct fake_store_service *store, const char *path,
                                 const GByteArray *body) {
-    bool is_dropped = store->drop_next_answer && strcmp(path, "/commit") == 0 &&
-                      strstr((const char *)body->data, "req-");
+    bool is_dropped =
+        store->drop_next_answer && strcmp(path, "/commit") == 0 && contains_text(body, "req-");
     store->drop_next_answer = store->drop_next_answer && !is_dropped;
     return is_dropped;
 }
 
+/* As consume_answer_drop(), for the first commit with a key of the prefix that a test has named;
+ * freezes the endpoint's watches then. */
+static bool consume_answer_loss(struct fake_endpoint *endpoint, const char *path,
+                                const GByteArray *body) {
+    struct fake_store_service *store = &endpoint->services->store;
+    if (!store->lost_key_prefix || strcmp(path, "/commit") != 0 ||
+        !contains_text(body, store->lost_key_prefix)) {
+        return false;
+    }
+    store->lost_key_prefix = NULL;
+    endpoint->frozen_until = rr_steady_clock_s() + store->watch_freeze_s;
+    return true;
+}
+
 /* Answers a request whose body is complete. Takes the lock. */
-static enum MHD_Result answer_request(const struct fake_endpoint *endpoint,
+static enum MHD_Result answer_request(struct fake_endpoint *endpoint,
                                       struct MHD_Connection *connection, const char *path,
                                       const char *method, const GByteArray *body) {
     fake_services *services = endpoint->services;
@@ -44,8 +64,10 @@
     rr_document_parse(&document, body->data, body->len);
     rr_encoder_init(&out);
     pthread_mutex_lock(&services->lock);
+    /* The freeze begins before the change, which no open watch may deliver. */
+    bool lost = consume_answer_loss(endpoint, path, body);
     int status = route_request(endpoint, connection, path, method, document.root, &out);
-    bool dropped = consume_answer_drop(&services->store, path, body);
+    bool dropped = consume_answer_drop(&services->store, path, body) || lost;
     pthread_mutex_unlock(&services->lock);
     rr_document_clear(&document);
     enum MHD_Result result = MHD_NO; /* closes the connection */
@@ -178,6 +200,21 @@
     pthread_mutex_unlock(&services->lock);
 }
 
+void fake_services_lose_answer(fake_services *services, const char *key_prefix,
+                               double watch_freeze_s) {
+    pthread_mutex_lock(&services->lock);
+    services->store.lost_key_prefix = key_prefix;
+    services->store.watch_freeze_s = watch_freeze_s;
+    pthread_mutex_unlock(&services->lock);
+}
+
+bool fake_services_answer_is_lost(fake_services *services) {
+    pthread_mutex_lock(&services->lock);
+    bool is_lost = services->store.lost_key_prefix == NULL;
+    pthread_mutex_unlock(&services->lock);
+    return is_lost;
+}
+
 void fake_services_set_zone(fake_services *services, const char *zone) {
     pthread_mutex_lock(&services->lock);
     g_strlcpy(services->worker.zone, zone, sizeof services->worker.zone);
--- a/tests/fake_services.h
+++ b/tests/fake_services.h
@@ -20,6 +20,13 @@
 /* The next commit that mentions a job id (req-...) is carried out, but its connection is closed
  * without an answer. */
 void fake_services_drop_next_answer(fake_services *services);
+/* The next commit with a key of this prefix (a string literal) is carried out, but its connection
+ * is closed without an answer. From then on the watches at its endpoint deliver no changes for so
+ * many seconds. */
+void fake_services_lose_answer(fake_services *services, const char *key_prefix,
+                               double watch_freeze_s);
+/* Returns whether the answer that was to be lost last has been lost. */
+bool fake_services_answer_is_lost(fake_services *services);
 /* While frozen, watches at all endpoints deliver no changes. */
 void fake_services_freeze_watches(fake_services *services, bool frozen);
 /* While down, the store answers 503 to all requests but watches, which deliver no changes, and no
--- a/tests/fake_services_internal.h
+++ b/tests/fake_services_internal.h
@@ -15,8 +15,9 @@
 struct fake_endpoint {
     fake_services *services;
     struct MHD_Daemon *daemon;
-    bool refused; /* the store answers 503 at this endpoint */
-    bool frozen;  /* watches at this endpoint deliver no changes */
+    bool refused;        /* the store answers 503 at this endpoint */
+    bool frozen;         /* watches at this endpoint deliver no changes */
+    double frozen_until; /* the same until this steady time */
 };
 
 struct fake_store_service {
@@ -28,6 +29,8 @@
     bool down;              /* 503 to all requests but watches, and no lease expires */
     bool watches_frozen;    /* watches deliver no changes */
     bool drop_next_answer;  /* the answer to the next commit of a job gets lost */
+    const char *lost_key_prefix; /* so does that to the next commit with such a key; NULL: none */
+    double watch_freeze_s;       /* duration of the freeze that then begins */
 };
 
 struct fake_worker {
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -144,6 +144,9 @@
 
 void fake_store_sync(fake_store *store, rr_core *core, double now) {
     uint64_t from = rr_core_revision(core);
+    if (store->watch_stuck) {
+        return;
+    }
     if (!rr_core_cache_loaded(core)) {
         rr_core_cache_begin_reload(core);
     }
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -19,6 +19,7 @@
     uint64_t revision;      /* of the last change */
     size_t value_bytes_max; /* most bytes of a value as JSON; 0: no limit */
     guint change_count_max; /* most changes per transaction, 4 times as many guards; 0: no limit */
+    bool watch_stuck;       /* fake_store_sync() delivers nothing */
 } fake_store;
 
 fake_store *fake_store_create(void);
@@ -31,7 +32,7 @@
 void fake_store_delete(fake_store *store, const char *key);
 
 /* Applies all changes that the core's store cache has not seen yet, as a watch does. A cache that
- * is still empty is loaded from the log. */
+ * is still empty is loaded from the log. Does nothing while watch_stuck is set. */
 void fake_store_sync(fake_store *store, rr_core *core, double now);
 /* Loads all records into the core's store cache in key order, as a controller that starts does. */
 void fake_store_reload(fake_store *store, rr_core *core, double now);
--- a/tests/fake_store_service.c
+++ b/tests/fake_store_service.c
@@ -194,7 +194,8 @@
 /* Whether an injected failure keeps watches at this endpoint from delivering changes. */
 static bool watch_is_blocked(const struct fake_endpoint *endpoint) {
     const struct fake_store_service *store = &endpoint->services->store;
-    return store->watches_frozen || store->down || endpoint->frozen || endpoint->refused;
+    return store->watches_frozen || store->down || endpoint->frozen || endpoint->refused ||
+           rr_steady_clock_s() < endpoint->frozen_until;
 }
 
 /* Returns the number of log entries after the revision. */
--- a/tests/test_cells_processes.c
+++ b/tests/test_cells_processes.c
@@ -163,6 +163,85 @@
     run_end();
 }
 
+/* ---- answers of the key-value store that are lost ---- */
+
+#define LOST_ANSWER_TASK_S 3.0  /* runtime of the tasks in these tests */
+#define LOST_ANSWER_WAIT_S 20.0 /* until the transaction that a test waits for has been made */
+#define MACHINE_TASKS 16u       /* as many tasks fill a cell's machine */
+
+static void set_task_runtime_of_all_cells(double seconds) {
+    for (int i = 0; i < RUN_CELLS; i++) {
+        fake_services_set_task_runtime(run.cells[i].services, seconds);
+    }
+}
+
+static struct run_job *submit_lasting_job(int home) {
+    run_submit_job(home);
+    assert_int_equal(run.refused_submissions, 0);
+    struct run_job *job = g_ptr_array_index(run.jobs, run.jobs->len - 1);
+    job->wants_cancel = false;
+    return job;
+}
+
+/* Starts the cells, and runs one job in each, so that each has a machine. */
+static void begin_run_with_machines(double task_runtime_s) {
+    run_begin(first_seed);
+    for (int i = 0; i < RUN_CELLS; i++) {
+        submit_lasting_job(i);
+    }
+    run_poll_until_settled();
+    set_task_runtime_of_all_cells(task_runtime_s);
+}
+
+static void wait_until_answer_is_lost(int cell) {
+    double deadline = rr_steady_clock_s() + LOST_ANSWER_WAIT_S;
+    while (!fake_services_answer_is_lost(run.cells[cell].services)) {
+        assert_true(rr_steady_clock_s() < deadline);
+        rr_sleep(RUN_POLL_S);
+    }
+}
+
+static void fill_machine(int cell) {
+    double deadline = rr_steady_clock_s() + LOST_ANSWER_WAIT_S;
+    for (unsigned tasks = 0; tasks < MACHINE_TASKS; tasks += 2) {
+        submit_lasting_job(cell);
+    }
+    while (fake_services_count_running_tasks(run.cells[cell].services) < MACHINE_TASKS) {
+        assert_true(rr_steady_clock_s() < deadline);
+        rr_sleep(RUN_POLL_S);
+    }
+}
+
+/* Polls until all jobs are done, and fails if one has run in two cells at a time. */
+static void finish_run_with_lost_answer(const char *title) {
+    double settle_s = run_poll_until_settled();
+    struct run_findings findings = run_check_jobs();
+    run_report_findings(title, first_seed, &findings, settle_s);
+    assert_int_equal(findings.done, findings.jobs);
+}
+
+/* The answer to the transaction that offers a job is lost, and with it, for a while, every change
+ * for the controller that has sent it. The controller took the conflict of its second attempt for
+ * an offer that was not written, and ran the job, which its record offers to another cell. */
+static void a_job_whose_offer_gets_no_answer_does_not_run_at_home(void **state) {
+    (void)state;
+    if (!run_options.cells_enabled) {
+        skip();
+    }
+    begin_run_with_machines(LOST_ANSWER_TASK_S);
+    run_kill_controllers(2);
+    run_kill_controllers(3);
+    fill_machine(0);
+    fake_services_lose_answer(run.cells[0].services, "rr/cells/out/", 2 * LOST_ANSWER_TASK_S);
+    const struct run_job *job = submit_lasting_job(0);
+    wait_until_answer_is_lost(0);
+    finish_run_with_lost_answer("offer without an answer");
+    char task_name[48];
+    g_snprintf(task_name, sizeof task_name, "%s/0", job->id);
+    assert_true(fake_services_find_first_start(run.cells[0].services, task_name) == 0);
+    run_end();
+}
+
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_teardown(every_job_settles_and_keeps_the_rules,
@@ -174,6 +253,8 @@
         cmocka_unit_test_teardown(jobs_of_a_home_without_controllers_are_claimed,
                                   run_kill_remaining_processes),
         cmocka_unit_test_teardown(a_cell_serves_alone_while_its_neighbours_are_down,
+                                  run_kill_remaining_processes),
+        cmocka_unit_test_teardown(a_job_whose_offer_gets_no_answer_does_not_run_at_home,
                                   run_kill_remaining_processes)};
     if (argc < 2) {
         fprintf(stderr, "usage: %s PROGRAM [SECONDS [FIRST_SEED [SEEDS [on|off [TEST]]]]]\n",
