Offer no job while a plan's outcome is unknown

What callers saw: a job ran in two cells, without any crash.

Cause: the planner counted its transaction as settled as soon as its commit had ended. After a conflict that the transaction's own first attempt had caused, the store cache did not show the placements yet. The cells' threads took the job for one of which no task has begun, and offered it; the home started its tasks when the cache caught up, and the guest ran them as well.

Change: rr_plan_outcome says whether the store cache has every plan that was executed: no commit runs, and after a conflict or an unknown outcome the cache has reached the conflict's revision or a later term. Offers wait for that. Why this suffices: a plan is guarded by the term and by what it writes, so that by then it was executed or never will be.

Ruled out: to guard offers by the job's ledger records (they are many for a large array, and a guard on a record that does not exist costs as much as one that does).

--- a/src/app/app.h
+++ b/src/app/app.h
@@ -7,6 +7,7 @@
 #define RR_APP_APP_H
 
 #include "admission/settings.h"
+#include "app/plan_outcome.h"
 #include "app/read_barrier.h"
 #include "app/stats.h"
 #include "cells/settings.h"
@@ -41,8 +42,8 @@
     pthread_cond_t cache_advanced; /* the store cache has reached a newer revision */
     pthread_cond_t planner_wake;   /* planner_wake_count has changed */
     rr_core *core;
-    uint64_t planner_wake_count; /* number of calls of rr_app_wake_planner() */
-    bool plan_outcome_pending;   /* a plan's transaction has no known outcome yet */
+    uint64_t planner_wake_count;         /* number of calls of rr_app_wake_planner() */
+    struct rr_plan_outcome plan_outcome; /* of the planner's last transaction */
 
     /* ---- reachability of the key-value store: under `lock` ---- */
 
--- a/src/app/cells_neighbour_thread.c
+++ b/src/app/cells_neighbour_thread.c
@@ -103,8 +103,9 @@
     rr_transfers_plan plan;
     rr_transfers_plan_init(&plan);
     pthread_mutex_lock(&app->lock);
-    rr_transfers_advance(app->cells->transfers, context->neighbour, !app->plan_outcome_pending,
-                         rr_steady_clock_s(), rr_wall_clock_s(), &plan);
+    bool may_offer = rr_plan_outcome_is_known(&app->plan_outcome, app->core);
+    rr_transfers_advance(app->cells->transfers, context->neighbour, may_offer, rr_steady_clock_s(),
+                         rr_wall_clock_s(), &plan);
     pthread_mutex_unlock(&app->lock);
     for (guint i = 0; i < plan.writes->len; i++) {
         rr_app_cells_commit_write(app, context->store, g_ptr_array_index(plan.writes, i));
--- a/src/app/planner_thread.c
+++ b/src/app/planner_thread.c
@@ -79,7 +79,9 @@
         double started_at = rr_steady_clock_s();
         rr_core_plan(app->core, started_at, rr_wall_clock_s(), plan);
         queue_command_batches(app, plan);
-        app->plan_outcome_pending = plan->has_transaction;
+        if (plan->has_transaction) {
+            rr_plan_outcome_begin(&app->plan_outcome, app->core);
+        }
         planner->plan_time_pause_s = fmin(
             PAUSE_PLAN_TIME_FACTOR * (rr_steady_clock_s() - started_at), PAUSE_PLAN_TIME_MAX_S);
     }
@@ -95,7 +97,7 @@
         rr_app_commit_with_retry(app, store, RR_REQUEST_PLAN, &plan->transaction, &revision);
     pthread_mutex_lock(&app->lock);
     rr_app_apply_committed_transaction(app, &plan->transaction, outcome, revision);
-    app->plan_outcome_pending = false;
+    rr_plan_outcome_end(&app->plan_outcome, outcome, revision);
     pthread_mutex_unlock(&app->lock);
     planner->needed_revision = outcome == RR_COMMIT_CONFLICT ? revision : 0;
     planner->committed_at = rr_steady_clock_s();
--- a/tests/cell_pair.c
+++ b/tests/cell_pair.c
@@ -233,10 +233,12 @@
 /* Commits what is due at one cell and sends its requests to the other. */
 static void advance_transfers(cell_pair *pair, struct test_cell *own, struct test_cell *other) {
     rr_transfers_plan plan;
-    bool under_way = pair->home_plan_in_progress && own == &pair->home;
+    bool plan_is_known =
+        !pair->home_plan_in_progress &&
+        rr_plan_outcome_is_known(&pair->home_plan_outcome, pair->home.controller.core);
     rr_transfers_plan_init(&plan);
-    rr_transfers_advance(own->transfers, 0, !under_way, own->controller.now, own->controller.now,
-                         &plan);
+    rr_transfers_advance(own->transfers, 0, plan_is_known || own != &pair->home,
+                         own->controller.now, own->controller.now, &plan);
     for (guint i = 0; i < plan.writes->len; i++) {
         commit_write(own, g_ptr_array_index(plan.writes, i),
                      pair->fail_guest_commits && own == &pair->guest);
--- a/tests/cell_pair.h
+++ b/tests/cell_pair.h
@@ -7,6 +7,7 @@
 #include "core/extensions.h"
 #include "core_fixture.h"
 
+#include "app/plan_outcome.h"
 #include "cells/transfers.h"
 
 /* One cell with a single controller. */
@@ -36,7 +37,8 @@
     bool drop_replies;          /* the link delivers requests, but drops the replies */
     bool fail_guest_commits;    /* the guest's commits fail, except those that follow a reply */
     bool home_plan_in_progress; /* the home is planning, so it must not offer jobs */
-    unsigned offers_delivered;  /* offers that have reached either cell */
+    struct rr_plan_outcome home_plan_outcome; /* of the home's last plan: restricts offers, too */
+    unsigned offers_delivered;                /* offers that have reached either cell */
 } cell_pair;
 
 /* ---- fixtures and common scenarios ---- */
--- a/tests/test_cells_lost_answers.c
+++ b/tests/test_cells_lost_answers.c
@@ -148,6 +148,44 @@
     assert_int_equal(stats.incoming, 0);
 }
 
+/* The home's last plan has placed the job, and the store cache does not show it. The home took the
+ * conflict for a plan that was not written, and offered the job. */
+static void a_job_is_not_offered_after_a_plan_without_an_answer(void **state) {
+    cell_pair *pair = *state;
+    struct rr_plan_outcome *outcome = &pair->home_plan_outcome;
+    cell_add_machines(&pair->home, 2);
+    cell_pair_submit_overdue_job(pair, &cell_pair_job);
+    cell_set_watch_stuck(&pair->home, true);
+    rr_plan_outcome_begin(outcome, pair->home.controller.core);
+    cell_plan(&pair->home, CELL_PAIR_JOB_ID);
+    assert_int_equal(cell_count_placed_tasks(&pair->home, CELL_PAIR_JOB_ID), 2);
+    rr_plan_outcome_end(outcome, RR_COMMIT_CONFLICT, pair->home.store->revision);
+    cell_pair_run_for(pair, 10);
+    assert_int_equal(fake_store_count(pair->home.store, "rr/cells/"), 0);
+    cell_set_watch_stuck(&pair->home, false);
+    cell_pair_run_for(pair, 10);
+    assert_int_equal(fake_store_count(pair->home.store, "rr/cells/"), 0);
+    assert_true(rr_plan_outcome_is_known(outcome, pair->home.controller.core));
+}
+
+/* The plan's first attempt got no answer, and the second one is beyond limits that are new. The
+ * outcome is known once the cache shows a later term, as no plan of an earlier one is executed
+ * then. */
+static void a_plan_beyond_new_limits_is_known_with_the_next_term(void **state) {
+    cell_pair *pair = *state;
+    struct rr_plan_outcome *outcome = &pair->home_plan_outcome;
+    const rr_core *core = pair->home.controller.core;
+    cell_pair_submit_overdue_job(pair, &cell_pair_job);
+    rr_plan_outcome_begin(outcome, core);
+    assert_false(rr_plan_outcome_is_known(outcome, core));
+    rr_plan_outcome_end(outcome, RR_COMMIT_OUTCOME_UNKNOWN, 0);
+    cell_pair_run_for(pair, 10);
+    assert_int_equal(pair->offers_delivered, 0);
+    cell_restart_controller(&pair->home, false);
+    cell_pair_run_for(pair, 3);
+    assert_int_equal(pair->offers_delivered, 1);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         CELL_PAIR_TEST(a_job_is_not_placed_at_home_after_an_offer_without_an_answer),
@@ -155,6 +193,8 @@
         CELL_PAIR_TEST(a_job_is_not_placed_at_home_after_a_second_offer_without_an_answer),
         CELL_PAIR_TEST(a_transfer_ends_after_a_final_record_without_an_answer),
         CELL_PAIR_TEST(a_guest_accepts_once_after_an_acceptance_without_an_answer),
-        CELL_PAIR_TEST(a_guest_forgets_a_claim_after_a_deletion_without_an_answer)};
+        CELL_PAIR_TEST(a_guest_forgets_a_claim_after_a_deletion_without_an_answer),
+        CELL_PAIR_TEST(a_job_is_not_offered_after_a_plan_without_an_answer),
+        CELL_PAIR_TEST(a_plan_beyond_new_limits_is_known_with_the_next_term)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_cells_processes.c
+++ b/tests/test_cells_processes.c
@@ -242,6 +242,21 @@
     run_end();
 }
 
+/* The answer to the transaction that places a job is lost, as above. The controller took the
+ * conflict for a plan that was not written, and offered the job, which then ran in both cells. */
+static void a_job_whose_plan_gets_no_answer_runs_in_one_cell(void **state) {
+    (void)state;
+    if (!run_options.cells_enabled) {
+        skip();
+    }
+    begin_run_with_machines(2 * LOST_ANSWER_TASK_S);
+    fake_services_lose_answer(run.cells[0].services, "rr/run/", LOST_ANSWER_TASK_S);
+    submit_lasting_job(0);
+    wait_until_answer_is_lost(0);
+    finish_run_with_lost_answer("plan without an answer");
+    run_end();
+}
+
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_teardown(every_job_settles_and_keeps_the_rules,
@@ -255,6 +270,8 @@
         cmocka_unit_test_teardown(a_cell_serves_alone_while_its_neighbours_are_down,
                                   run_kill_remaining_processes),
         cmocka_unit_test_teardown(a_job_whose_offer_gets_no_answer_does_not_run_at_home,
+                                  run_kill_remaining_processes),
+        cmocka_unit_test_teardown(a_job_whose_plan_gets_no_answer_runs_in_one_cell,
                                   run_kill_remaining_processes)};
     if (argc < 2) {
         fprintf(stderr, "usage: %s PROGRAM [SECONDS [FIRST_SEED [SEEDS [on|off [TEST]]]]]\n",
