--- a/src/app/planner_thread.c
+++ b/src/app/planner_thread.c
@@ -34,7 +34,6 @@
 /* State that the planner thread keeps between plans. */
 struct planner {
     uint64_t seen_wake_count; /* value of rr_app.planner_wake_count before the last plan */
-    uint64_t needed_revision; /* the store cache must reach it before the next plan; 0: none */
     double committed_at;      /* steady time of the last transaction's outcome; 0: none yet */
     double suspects_sent_at;  /* steady time of the last message about suspects; 0: none yet */
     double plan_time_pause_s; /* pause that the last plan's duration asks for */
@@ -72,7 +71,7 @@
         rr_app_cond_timedwait(&app->planner_wake, &app->lock, WAKE_WAIT_MAX_S);
     }
     planner->seen_wake_count = app->planner_wake_count;
-    if (rr_app_wait_for_revision(app, planner->needed_revision,
+    if (rr_app_wait_for_revision(app, app->plan_outcome.point.revision,
                                  rr_steady_clock_s() + CONFLICT_WAIT_MAX_S)) {
         int changes = count_affordable_changes(app, planner);
         rr_core_set_write_pressure(app->core, rr_budget_get_write_pressure(app->budget), changes);
@@ -99,7 +98,6 @@
     rr_app_apply_committed_transaction(app, &plan->transaction, outcome, revision);
     rr_plan_outcome_end(&app->plan_outcome, outcome, revision);
     pthread_mutex_unlock(&app->lock);
-    planner->needed_revision = outcome == RR_COMMIT_CONFLICT ? revision : 0;
     planner->committed_at = rr_steady_clock_s();
     if (outcome == RR_COMMIT_DONE) {
         /* Skip the wait before the next plan: it starts what this plan has reserved. */
