--- a/src/cells/incoming.h
+++ b/src/cells/incoming.h
@@ -10,7 +10,7 @@
 
 /* Returns the entry of the job with this local id; creates it if there is none. The table owns it.
  */
-rr_incoming *rr_incoming_get(rr_transfers *transfers, const char *local_id);
+rr_incoming *rr_incoming_get_or_create(rr_transfers *transfers, const char *local_id);
 /* Takes a record from the store cache; value NULL: it was deleted. */
 void rr_incoming_apply_record(rr_transfers *transfers, const char *local_id,
                               const msgpack_object *value, uint64_t version);
--- a/src/cells/incoming_offers.c
+++ b/src/cells/incoming_offers.c
@@ -102,7 +102,7 @@
 static rr_incoming *add_entry(rr_transfers *transfers, size_t neighbour, const rr_cells_item *item,
                               const char *team, const char *local_id, const rr_guest *guest,
                               double now) {
-    rr_incoming *entry = rr_incoming_get(transfers, local_id);
+    rr_incoming *entry = rr_incoming_get_or_create(transfers, local_id);
     entry->guest = *guest;
     entry->neighbour = (int)neighbour;
     entry->loaded_token = rr_core_fencing_token(transfers->core);
--- a/src/cells/incoming_records.c
+++ b/src/cells/incoming_records.c
@@ -10,7 +10,7 @@
 
 static const rr_transfer_message no_message = {.kind = RR_TRANSFER_NOTHING};
 
-rr_incoming *rr_incoming_get(rr_transfers *transfers, const char *local_id) {
+rr_incoming *rr_incoming_get_or_create(rr_transfers *transfers, const char *local_id) {
     rr_incoming *entry = g_hash_table_lookup(transfers->incoming, local_id);
     if (!entry) {
         entry = g_new0(rr_incoming, 1);
@@ -55,7 +55,7 @@
         transfers->stats.unreadable_records++;
         return;
     }
-    entry = rr_incoming_get(transfers, local_id);
+    entry = rr_incoming_get_or_create(transfers, local_id);
     entry->record = record;
     entry->version = version;
     entry->deleted = false;
--- a/src/cells/outgoing.h
+++ b/src/cells/outgoing.h
@@ -9,7 +9,7 @@
 /* ---- outgoing_records.c ---- */
 
 /* Returns the job's entry; creates it if there is none. The table owns it. */
-rr_outgoing *rr_outgoing_get(rr_transfers *transfers, const char *job_id);
+rr_outgoing *rr_outgoing_get_or_create(rr_transfers *transfers, const char *job_id);
 /* Removes the entry, and the hold that keeps the job from being placed here. */
 void rr_outgoing_remove(rr_transfers *transfers, const char *job_id);
 /* Takes a record from the store cache; value NULL: it was deleted. */
--- a/src/cells/outgoing_offers.c
+++ b/src/cells/outgoing_offers.c
@@ -82,7 +82,7 @@
  * no longer placed here. */
 static void offer_job(rr_transfers *transfers, const struct candidate *candidate, size_t neighbour,
                       double now, double wall, rr_transfers_plan *plan) {
-    rr_outgoing *entry = rr_outgoing_get(transfers, candidate->submission->job_id);
+    rr_outgoing *entry = rr_outgoing_get_or_create(transfers, candidate->submission->job_id);
     g_strlcpy(entry->record.team, candidate->submission->team, sizeof entry->record.team);
     if (!rr_outgoing_load(transfers, entry, now)) {
         return;
--- a/src/cells/outgoing_records.c
+++ b/src/cells/outgoing_records.c
@@ -10,7 +10,7 @@
 
 static const rr_transfer_message no_message = {.kind = RR_TRANSFER_NOTHING};
 
-rr_outgoing *rr_outgoing_get(rr_transfers *transfers, const char *job_id) {
+rr_outgoing *rr_outgoing_get_or_create(rr_transfers *transfers, const char *job_id) {
     rr_outgoing *entry = g_hash_table_lookup(transfers->outgoing, job_id);
     if (!entry) {
         entry = g_new0(rr_outgoing, 1);
@@ -71,7 +71,7 @@
         transfers->stats.unreadable_records++;
         return;
     }
-    entry = rr_outgoing_get(transfers, job_id);
+    entry = rr_outgoing_get_or_create(transfers, job_id);
     entry->record = record;
     entry->version = version;
     entry->deleted = false;
--- a/src/cells/transfer_table.h
+++ b/src/cells/transfer_table.h
@@ -97,9 +97,9 @@
                                 uint64_t revision, uint64_t fencing_token);
 /* Returns true, and ends the wait, if the entry waits and the store cache now shows the outcome. */
 bool rr_transfers_end_wait_if_shown(rr_transfers *transfers, rr_unresolved_write *unresolved);
-/* Calls back for every entry of the table if any write has an unknown outcome. The callback may
- * remove its entry. */
+/* Receives an entry, an rr_outgoing or rr_incoming; it may remove the entry. */
 typedef void (*rr_transfers_entry_fn)(rr_transfers *transfers, void *entry, double now);
+/* Calls back for every entry of the table if any write has an unknown outcome. */
 void rr_transfers_foreach_if_unresolved(rr_transfers *transfers, GHashTable *table,
                                         rr_transfers_entry_fn callback, double now);
 
