Decision trace: the same random numbers on arm64 as on x86-64

Need: decision_trace failed on arm64 from its first line on.

Cause: the events differed, not the decisions. g_rand_double_range() comes from GLib, which is built with fused operations there, so that its last bits differ; and one call drew two random numbers in its argument list, whose order the compiler chooses. The trace now computes the range from g_rand_double() by the same formula without fused operations, and draws the two numbers in the order that the fixture was written in.

--- a/tests/decision_trace.c
+++ b/tests/decision_trace.c
@@ -16,7 +16,7 @@
  * run.
  *
  * Some records hold decimals in binary, so the fixture is valid for machines that compute in IEEE
- * doubles without fused operations, such as x86-64. */
+ * doubles, such as x86-64 and arm64; the build switches fused operations off. */
 #include "trace_world.h"
 
 #include <stdio.h>
--- a/tests/trace_beside.c
+++ b/tests/trace_beside.c
@@ -97,7 +97,7 @@
                                     .runtime_estimate_s = stream->runtime_s};
         rr_admission_context state = {.lease_valid = g_rand_int_range(random, 0, 20) > 0,
                                       .all_support_admission = g_rand_int_range(random, 0, 20) > 0,
-                                      .cache_age_s = g_rand_double_range(random, 0, 3),
+                                      .cache_age_s = trace_random_double_from(random, 0, 3),
                                       .controllers = MODEL_CONTROLLERS};
         g_snprintf(submission.job_id, sizeof submission.job_id, "req-9%07u",
                    ++admission_trace.check_count);
@@ -326,7 +326,7 @@
         pair->home_plan_in_progress = random_int_below(trace, 3) == 0;
         break;
     default:
-        cell_pair_advance(pair, g_rand_double_range(trace->random, 0.5, 15));
+        cell_pair_advance(pair, trace_random_double_from(trace->random, 0.5, 15));
     }
 }
 
--- a/tests/trace_controllers.c
+++ b/tests/trace_controllers.c
@@ -422,8 +422,9 @@
 static void set_write_pressure(struct trace_world *world, struct trace_controller *controller) {
     int changes_max = rr_transaction_changes_max(&controller->fixture.config);
     if (world->scenario.write_pressure) {
-        rr_core_set_write_pressure(controller->fixture.core, trace_random_double(world, 0, 1),
-                                   trace_random_int(world, changes_max + 1));
+        int changes = trace_random_int(world, changes_max + 1);
+        double pressure = trace_random_double(world, 0, 1);
+        rr_core_set_write_pressure(controller->fixture.core, pressure, changes);
     } else {
         rr_core_set_write_pressure(controller->fixture.core, 0, changes_max);
     }
--- a/tests/trace_core.c
+++ b/tests/trace_core.c
@@ -209,8 +209,13 @@
     return below > 1 ? g_rand_int_range(world->random, 0, below) : 0;
 }
 
+double trace_random_double_from(GRand *random, double from, double below) {
+    double number = g_rand_double(random);
+    return number * below - (number - 1) * from;
+}
+
 double trace_random_double(struct trace_world *world, double from, double below) {
-    return g_rand_double_range(world->random, from, below);
+    return trace_random_double_from(world->random, from, below);
 }
 
 /* ---- faults ---- */
--- a/tests/trace_world.h
+++ b/tests/trace_world.h
@@ -148,6 +148,9 @@
 int trace_random_int(struct trace_world *world, int below);
 /* Returns a number of at least `from` and less than `below`. */
 double trace_random_double(struct trace_world *world, double from, double below);
+/* The same from `random`. GLib's own range function may be built with fused operations, whose
+ * results differ between processors. */
+double trace_random_double_from(GRand *random, double from, double below);
 
 /* ---- trace_workers.c ---- */
 
