Reap no attempt under the token that its start was sent under

Cause: the owner reaped an ended attempt as soon as its placement was out of the ledger, if the start had been answered. An answer was taken for proof that the start can't arrive again. A late copy of the carried out start, under the same token and worker epoch, found a worker that had forgotten the attempt, and started it. Only starts without an answer were guarded against this.

Ruled out: a start by two owners (one token, one sender); a placement that left the ledger too early (the attempt had ended); a start that came after its own attempt (same attempt number, and no second command from the sender).

Change: the starts that a controller sent are kept for the present token and worker epoch whether answered or not, and the attempt is reaped only once they are void.

--- a/src/core/health/heartbeats.c
+++ b/src/core/health/heartbeats.c
@@ -70,9 +70,18 @@
     }
 }
 
+static guint count_ended_tasks(const rr_heartbeat *heartbeat) {
+    guint count = 0;
+    for (guint i = 0; i < heartbeat->tasks->len; i++) {
+        count += g_array_index(heartbeat->tasks, rr_task_status, i).state == RR_TASK_ENDED;
+    }
+    return count;
+}
+
 /* Moves the content of the heartbeat into the machine. */
 static void replace_heartbeat(rr_machine *machine, rr_heartbeat *heartbeat, uint64_t hash) {
     rr_heartbeat_clear(&machine->heartbeat);
+    machine->ended_task_count = count_ended_tasks(heartbeat);
     machine->heartbeat = *heartbeat;
     machine->heartbeat_hash = hash;
     machine->heartbeat_seen = true;
--- a/src/core/health/machine_health.c
+++ b/src/core/health/machine_health.c
@@ -19,6 +19,9 @@
 /* A machine gets no new work after this many consecutive commands without an answer. */
 #define COMMANDS_UNANSWERED_MAX 2
 
+/* A machine that reports this many ended tasks gets no new work. */
+#define ENDED_TASKS_MAX 256
+
 /* A machine's name counts as reused after this many consecutive answers, over this time, that are
  * older than its newest heartbeat: one or two may be late duplicates. */
 #define STALE_ANSWERS_MIN 3
@@ -94,6 +97,11 @@
            count_credible_failures(machine) > 0;
 }
 
+/* Room for running tasks is left in a heartbeat, which has a size limit. */
+static bool reports_too_many_ended_tasks(const rr_machine *machine) {
+    return machine->ended_task_count >= ENDED_TASKS_MAX;
+}
+
 /* Requires a recent heartbeat, because the old ones of a partitioned zone still report free
  * resources. */
 bool rr_machine_schedulable(const rr_core *core, const rr_machine *machine, double now) {
@@ -101,7 +109,7 @@
            rr_machine_heartbeat_recent(core, machine, now) &&
            machine->heartbeat.spot_notice_s < 0 && now >= machine->full_until &&
            !rr_machine_quarantined(machine, now) && !machine->to_release &&
-           !rr_machine_commands_unanswered(machine) &&
+           !reports_too_many_ended_tasks(machine) && !rr_machine_commands_unanswered(machine) &&
            !rr_machine_heartbeats_lost(core, machine, now);
 }
 
--- a/src/core/membership/term.c
+++ b/src/core/membership/term.c
@@ -130,10 +130,16 @@
     rr_transaction_guard(transaction, RR_KEY_TERM, core->membership.term.version);
 }
 
+void rr_request_new_term(rr_core *core) {
+    core->membership.new_term_due = true;
+}
+
 void rr_core_activate_next_limits(rr_core *core, bool outcome_unknown) {
     if (!core->stored.next_limits_in_force) {
         rr_log_at(core, RR_LOG_INFO, "key-value store: the next limits are in force");
     }
     core->stored.next_limits_in_force = true;
-    core->membership.new_term_due = core->membership.new_term_due || outcome_unknown;
+    if (outcome_unknown) {
+        rr_request_new_term(core);
+    }
 }
--- a/src/core/scheduling/placement_verdict.c
+++ b/src/core/scheduling/placement_verdict.c
@@ -23,9 +23,9 @@
 }
 
 bool rr_start_may_arrive(const rr_core *core, const rr_machine *machine, uint64_t attempt) {
-    return machine->unanswered_starts_token == core->membership.term.token &&
-           machine->unanswered_starts_epoch == machine->heartbeat.worker_epoch &&
-           g_hash_table_contains(machine->unanswered_starts, &attempt);
+    return machine->sent_starts_token == core->membership.term.token &&
+           machine->sent_starts_epoch == machine->heartbeat.worker_epoch &&
+           g_hash_table_contains(machine->sent_starts, &attempt);
 }
 
 bool rr_machine_accepts_commands(const struct rr_planner *planner, const rr_machine *machine) {
--- a/src/core/scheduling/placement_verdict.h
+++ b/src/core/scheduling/placement_verdict.h
@@ -34,8 +34,8 @@
                                                 const rr_placement *placement,
                                                 const rr_task_status *task);
 
-/* Whether a start command of the attempt may still arrive at the machine: one was sent under the
- * present fencing token and worker epoch, and its outcome is unknown. */
+/* Whether a start command of the attempt may still arrive at the machine: this controller sent one
+ * under the present fencing token and worker epoch. An answer does not rule out a late copy. */
 bool rr_start_may_arrive(const rr_core *core, const rr_machine *machine, uint64_t attempt);
 
 /* Whether a command may be sent to the machine now: none is in flight, no retry delay is running,
--- a/src/core/scheduling/probes.c
+++ b/src/core/scheduling/probes.c
@@ -190,19 +190,19 @@
     machine->suspect_until = 0;
 }
 
-/* Records the start commands of a batch whose outcome is unknown, since they may still arrive.
- * Drops those recorded under another fencing token or worker epoch. */
-static void record_unanswered_starts(rr_machine *machine, const rr_command_batch *batch) {
-    if (machine->unanswered_starts_token != batch->fencing_token ||
-        machine->unanswered_starts_epoch != batch->worker_epoch) {
-        g_hash_table_remove_all(machine->unanswered_starts);
-        machine->unanswered_starts_token = batch->fencing_token;
-        machine->unanswered_starts_epoch = batch->worker_epoch;
+/* Records the start commands of a batch that was sent. Drops those recorded under another fencing
+ * token or worker epoch, which the worker refuses. */
+static void record_sent_starts(rr_machine *machine, const rr_command_batch *batch) {
+    if (machine->sent_starts_token != batch->fencing_token ||
+        machine->sent_starts_epoch != batch->worker_epoch) {
+        g_hash_table_remove_all(machine->sent_starts);
+        machine->sent_starts_token = batch->fencing_token;
+        machine->sent_starts_epoch = batch->worker_epoch;
     }
     for (guint i = 0; i < batch->commands->len; i++) {
         const rr_command *command = &g_array_index(batch->commands, rr_command, i);
         if (command->kind == RR_COMMAND_START) {
-            g_hash_table_add(machine->unanswered_starts,
+            g_hash_table_add(machine->sent_starts,
                              g_memdup2(&command->attempt, sizeof command->attempt));
         }
     }
@@ -210,15 +210,12 @@
 
 /* Records that a batch of commands got no answer. */
 static void record_failed_commands(rr_core *core, rr_machine *machine, double now,
-                                   const rr_command_batch *batch, enum rr_command_outcome outcome) {
+                                   const rr_command_batch *batch) {
     machine->next_command_at = now + UNANSWERED_RETRY_S;
     record_unanswered_command(core, machine, now);
     if (batch->peer < 0) {
         machine->direct_path_bad_until = now + PEER_PATH_S;
     }
-    if (outcome == RR_COMMAND_OUTCOME_UNKNOWN) {
-        record_unanswered_starts(machine, batch);
-    }
 }
 
 void rr_core_record_command_result(rr_core *core, double now, const rr_command_batch *batch,
@@ -232,6 +229,9 @@
     }
     machine->command_inflight = false;
     rr_machine_mark_dirty(core, machine);
+    if (outcome != RR_COMMAND_NOT_SENT) {
+        record_sent_starts(machine, batch);
+    }
     if (is_probe && answered) {
         record_answered_probe(machine);
     } else if (is_probe) {
@@ -240,6 +240,6 @@
         machine->next_command_at = executed ? 0 : now + NOT_EXECUTED_RETRY_S;
         machine->unanswered_commands = 0;
     } else {
-        record_failed_commands(core, machine, now, batch, outcome);
+        record_failed_commands(core, machine, now, batch);
     }
 }
--- a/src/core/scheduling/reconciliation.c
+++ b/src/core/scheduling/reconciliation.c
@@ -6,6 +6,7 @@
 #include "core/membership/membership.h"
 #include "core/scheduling/command_batches.h"
 #include "core/scheduling/gang_phase.h"
+#include "core/scheduling/late_start_blocks.h"
 #include "core/scheduling/placement_verdict.h"
 #include "core/scheduling/plan_edits.h"
 #include "core/state/jobs.h"
@@ -112,7 +113,7 @@
     }
     enum rr_command_kind kind = RR_COMMAND_STOP;
     if (task->state == RR_TASK_ENDED) {
-        /* An exited attempt blocks late starts of it, so it is kept while one may arrive. */
+        /* An ended attempt blocks late starts of it, so it is kept while one may arrive. */
         if (rr_start_may_arrive(planner->core, machine, task->attempt)) {
             return false;
         }
@@ -174,7 +175,7 @@
         const rr_task_status *task = &g_array_index(machine->heartbeat.tasks, rr_task_status, i);
         revisit = reconcile_unknown_task(planner, machine, task) || revisit;
     }
-    return revisit;
+    return rr_request_term_for_blocked_starts(planner, machine) || revisit;
 }
 
 /* Adds the gangs of this controller's teams that have placements on the machine to `gangs`. */
@@ -213,12 +214,15 @@
     }
 }
 
-/* Marks every machine dirty once per term, since the ownership of teams changes with the term. */
-static void mark_all_machines_dirty_in_new_term(rr_core *core) {
+/* Marks every machine dirty once per term, since the ownership of teams changes with the term, and
+ * so does which ended attempts may be reaped. */
+static void mark_all_machines_dirty_in_new_term(const struct rr_planner *planner) {
+    rr_core *core = planner->core;
     if (core->membership.fully_dirty_token == core->membership.term.token) {
         return;
     }
     core->membership.fully_dirty_token = core->membership.term.token;
+    core->planning.term_planned_since = planner->now;
     for (guint i = 0; i < core->stored.machine_list->len; i++) {
         rr_machine_mark_dirty(core, g_ptr_array_index(core->stored.machine_list, i));
     }
@@ -226,7 +230,7 @@
 
 void rr_reconcile_machines(struct rr_planner *planner) {
     rr_core *core = planner->core;
-    mark_all_machines_dirty_in_new_term(core);
+    mark_all_machines_dirty_in_new_term(planner);
     GPtrArray *dirty = core->stored.dirty_machines;
     guint count = dirty->len, kept_count = 0;
     GPtrArray *gangs = g_ptr_array_new(); /* rr_job* */
--- a/src/core/state/machines.c
+++ b/src/core/state/machines.c
@@ -17,7 +17,7 @@
     machine->placements = g_array_new(FALSE, TRUE, sizeof(rr_placement));
     machine->images = g_array_new(FALSE, FALSE, sizeof(int));
     machine->failed_jobs = g_array_new(FALSE, FALSE, sizeof(rr_job *));
-    machine->unanswered_starts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    machine->sent_starts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     machine->known_at = machine->idle_since = now;
     machine->forwarding_peer = -1;
     g_hash_table_insert(core->stored.machines, machine->name, machine);
@@ -31,7 +31,7 @@
     rr_heartbeat_clear(&machine->heartbeat);
     g_array_free(machine->images, TRUE);
     g_array_free(machine->failed_jobs, TRUE);
-    g_hash_table_destroy(machine->unanswered_starts);
+    g_hash_table_destroy(machine->sent_starts);
     if (machine->reserved_jobs) {
         g_array_free(machine->reserved_jobs, TRUE);
     }
--- a/src/core/state/machines.h
+++ b/src/core/state/machines.h
@@ -41,6 +41,7 @@
     double suspect_probes_failed_at; /* when the first of them failed */
     rr_heartbeat heartbeat;          /* newest one; valid if heartbeat_seen */
     uint64_t heartbeat_hash;         /* of the content of the newest heartbeat */
+    guint ended_task_count;          /* tasks that the newest heartbeat reports as ended */
     double heartbeat_at;             /* when the last heartbeat, digest or answer arrived */
     double known_at;                 /* when the machine or its record became known */
     double direct_path_bad_until;    /* until then commands are sent through a peer */
@@ -49,12 +50,13 @@
     GArray *images;      /* int: name indices of the images that the machine has, oldest first */
     GArray *failed_jobs; /* rr_job*: jobs of which a task failed here */
     double last_task_failure_at; /* when a task last failed here */
-    double full_until; /* no new work is placed before this time, since the worker was full */
-    GHashTable *unanswered_starts;    /* uint64_t*: attempts whose start command may still arrive */
-    uint64_t unanswered_starts_token; /* fencing token of these commands */
-    uint64_t unanswered_starts_epoch; /* worker epoch of these commands */
-    double next_command_at;           /* no command is sent before this time */
-    double reap_deferred_since;       /* since when the reaping of an exited task is deferred */
+    double full_until;       /* no new work is placed before this time, since the worker was full */
+    GHashTable *sent_starts; /* uint64_t*: attempts whose start command was sent, see
+                                rr_start_may_arrive() */
+    uint64_t sent_starts_token; /* fencing token of these commands */
+    uint64_t sent_starts_epoch; /* worker epoch of these commands */
+    double next_command_at;     /* no command is sent before this time */
+    double reap_deferred_since; /* since when the reaping of an exited task is deferred */
     /* Used by the autoscaler. */
     bool cloud_listed;      /* the cloud's list has contained the machine */
     bool gone_from_cloud;   /* failed, released or missing there: its record is to be removed */
