Reap attempts of an evicted job only in a term after its eviction

Need: found while looking for other ways in which a worker forgets an attempt.

For a job that is evicted, the autoscaler took an attempt's number for the token of its start. An attempt that one owner reserves and the next one starts has the older token in its number, so the autoscaler reaped it under the token of its start, and a late copy of the start ran.

Change: the outcome that is kept of an evicted job holds the token of the term of its eviction, packed into the same word. The autoscaler reaps only what was evicted in an earlier term: such a job had no placement when the present term began, so nobody has started it since. Attempts of the present term need no rule of their own any more; the two functions that took attempt numbers apart are gone.

--- a/src/core/health/heartbeat_replies.c
+++ b/src/core/health/heartbeat_replies.c
@@ -3,6 +3,7 @@
 #include "core/heartbeats.h"
 #include "core/membership/membership.h"
 #include "core/state/cancel_hints.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/jobs.h"
 
 #include <string.h>
--- a/src/core/membership/attempts.c
+++ b/src/core/membership/attempts.c
@@ -7,7 +7,6 @@
 
 #define TOKEN_SHIFT 32
 #define MEMBER_SHIFT 24
-#define MEMBER_MASK 0xff
 #define COUNTER_MASK 0xffffff
 
 uint64_t rr_next_attempt(rr_core *core) {
@@ -15,11 +14,3 @@
            (uint64_t)rr_own_member_index(core) << MEMBER_SHIFT |
            (++core->membership.attempt_counter & COUNTER_MASK);
 }
-
-uint64_t rr_attempt_token(uint64_t attempt) {
-    return attempt >> TOKEN_SHIFT;
-}
-
-guint rr_attempt_member(uint64_t attempt) {
-    return (guint)(attempt >> MEMBER_SHIFT & MEMBER_MASK);
-}
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -67,10 +67,6 @@
 /* Returns a new attempt number, which is unique among all controllers and terms. Within a team,
  * later attempts have higher numbers. */
 uint64_t rr_next_attempt(rr_core *core);
-/* Returns the fencing token of the term in which the attempt was reserved. */
-uint64_t rr_attempt_token(uint64_t attempt);
-/* Returns the index, in that term, of the member that reserved the attempt. */
-guint rr_attempt_member(uint64_t attempt);
 
 /* ---- shards.c ---- */
 
--- a/src/core/scheduling/reconciliation.c
+++ b/src/core/scheduling/reconciliation.c
@@ -9,6 +9,7 @@
 #include "core/scheduling/late_start_blocks.h"
 #include "core/scheduling/placement_verdict.h"
 #include "core/scheduling/plan_edits.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/jobs.h"
 #include "core/state/ledger.h"
 #include "core/state/machines.h"
@@ -78,17 +79,13 @@
            planner->core->config->heartbeat_interval_s;
 }
 
-/* Whether this controller cleans up a task of a final job, whose team is not known any more. The
- * autoscaler stops tasks that still run and reaps attempts of earlier terms: workers refuse a late
- * start of those, because its fencing token is older than that of the reap. An exited attempt of
- * the present term is reaped by the controller that reserved it, since only that controller
- * knows whether a start command may still arrive. */
-static bool must_clean_up_final_job(const rr_core *core, const rr_task_status *task, double now) {
-    if (task->state == RR_TASK_ENDED &&
-        rr_attempt_token(task->attempt) == core->membership.term.token) {
-        return rr_attempt_member(task->attempt) == rr_own_member_index(core);
-    }
-    return rr_core_is_autoscaler(core, now);
+/* Whether this controller cleans up a task of an evicted job, whose team is not known any more. The
+ * autoscaler does: it stops tasks that still run, and reaps ended attempts once every start command
+ * of the job carries an older fencing token than the reap, so that workers refuse a late copy. */
+static bool must_clean_up_evicted_job(const rr_core *core, const rr_task_status *task, double now) {
+    bool reapable =
+        task->state != RR_TASK_ENDED || rr_job_evicted_in_earlier_term(core, task->job_id);
+    return reapable && rr_core_is_autoscaler(core, now);
 }
 
 /* Whether this controller has to clean up the task, because its attempt has no placement in the
@@ -99,7 +96,7 @@
     const rr_job *job = g_hash_table_lookup(core->stored.jobs, task->job_id);
     if (!job) {
         return rr_job_outcome(core, task->job_id, NULL, NULL) &&
-               must_clean_up_final_job(core, task, planner->now);
+               must_clean_up_evicted_job(core, task, planner->now);
     }
     return owns_job(core, job) && !rr_placement_find(machine, task->attempt, job, task->task);
 }
--- a/src/core/state/job_records.c
+++ b/src/core/state/job_records.c
@@ -1,6 +1,7 @@
 /* Encodes job records for the store and applies them to the store cache. */
 #include "core/state/job_records.h"
 #include "core/core_internal.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/machines.h"
 #include "core/state/name_index.h"
 #include "core/state/placement_accounting.h"
--- a/src/core/state/job_retention.c
+++ b/src/core/state/job_retention.c
@@ -1,6 +1,7 @@
 /* Frees the ledger records of closed jobs, and evicts final jobs to which nothing refers. */
 #include "core/state/job_retention.h"
 #include "core/core_internal.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/job_records.h"
 #include "core/state/jobs.h"
 #include "core/state/machines.h"
@@ -75,9 +76,7 @@
         bool was_evictable = job->evictable;
         job->evictable = is_evictable(core, job) && !g_hash_table_contains(referenced, job);
         if (was_evictable && job->evictable) {
-            gsize outcome = (gsize)job->done_count * 2 + (job->done ? 1 : 0);
-            g_hash_table_replace(core->stored.job_outcomes, g_strdup(job->submission.job_id),
-                                 GSIZE_TO_POINTER(outcome));
+            rr_job_outcome_add(core, job);
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/src/core/state/jobs.c
+++ b/src/core/state/jobs.c
@@ -72,20 +72,6 @@
            (job->done_bitmap[task / 8] >> (task % 8) & 1);
 }
 
-bool rr_job_outcome(const rr_core *core, const char *job_id, bool *done, uint32_t *done_count) {
-    gpointer outcome;
-    if (!g_hash_table_lookup_extended(core->stored.job_outcomes, job_id, NULL, &outcome)) {
-        return false;
-    }
-    if (done) {
-        *done = GPOINTER_TO_SIZE(outcome) & 1;
-    }
-    if (done_count) {
-        *done_count = (uint32_t)(GPOINTER_TO_SIZE(outcome) >> 1);
-    }
-    return true;
-}
-
 void rr_arrivals_add(rr_core *core, rr_job *job) {
     if (core->stored.reloading && core->membership.term.token == 0) {
         return;
--- a/src/core/state/jobs.h
+++ b/src/core/state/jobs.h
@@ -49,9 +49,6 @@
 void rr_job_close_if_final(rr_core *core, rr_job *job);
 /* Returns whether the task, or the whole job, is done. */
 bool rr_job_task_done(const rr_job *job, uint32_t task);
-/* Returns whether the job has been evicted, and if so stores its outcome in *done and *done_count,
- * either of which may be NULL. */
-bool rr_job_outcome(const rr_core *core, const char *job_id, bool *done, uint32_t *done_count);
 /* Records the arrival of a job, from which the autoscaler derives headroom. Ignored during the
  * first load of the cache, because jobs loaded then may have arrived at any time. */
 void rr_arrivals_add(rr_core *core, rr_job *job);
--- a/src/core/state/ledger.c
+++ b/src/core/state/ledger.c
@@ -1,6 +1,7 @@
 /* Encodes ledger records for the store and applies them to the store cache. */
 #include "core/state/ledger.h"
 #include "core/core_internal.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/job_retention.h"
 #include "core/state/jobs.h"
 #include "core/state/machines.h"
--- a/src/core/state/stored_state.h
+++ b/src/core/state/stored_state.h
@@ -17,17 +17,17 @@
 
     rr_name_index teams, zones, machine_type_names, job_classes, images;
 
-    GArray *machine_types;         /* rr_machine_type, by index; empty name: not in the catalog */
-    GHashTable *jobs;              /* job id -> rr_job, owned; evicted jobs are not in it */
-    GHashTable *job_outcomes;      /* id of an evicted job -> 2 * done tasks, + 1 if it is done */
-    GPtrArray *open_jobs;          /* rr_job*: not final, or with placements */
-    GArray *recent_arrivals;       /* rr_job*: arrived within RR_ARRIVAL_WINDOW_S, oldest first */
-    GHashTable *machines;          /* name -> rr_machine, owned */
-    GPtrArray *machine_list;       /* rr_machine*: all machines */
-    GPtrArray *dirty_machines;     /* rr_machine*: to be reconciled */
-    GHashTable *gone_machines;     /* name -> double*: when the machine's record was removed */
-    GHashTable *pages;             /* page id -> rr_machine_page */
-    GHashTable *job_batches;       /* key -> rr_job_batch */
+    GArray *machine_types;     /* rr_machine_type, by index; empty name: not in the catalog */
+    GHashTable *jobs;          /* job id -> rr_job, owned; evicted jobs are not in it */
+    GHashTable *job_outcomes;  /* id of an evicted job -> its packed outcome, see job_outcomes.c */
+    GPtrArray *open_jobs;      /* rr_job*: not final, or with placements */
+    GArray *recent_arrivals;   /* rr_job*: arrived within RR_ARRIVAL_WINDOW_S, oldest first */
+    GHashTable *machines;      /* name -> rr_machine, owned */
+    GPtrArray *machine_list;   /* rr_machine*: all machines */
+    GPtrArray *dirty_machines; /* rr_machine*: to be reconciled */
+    GHashTable *gone_machines; /* name -> double*: when the machine's record was removed */
+    GHashTable *pages;         /* page id -> rr_machine_page */
+    GHashTable *job_batches;   /* key -> rr_job_batch */
     GPtrArray *orphan_record_keys; /* char*: keys of ledger records whose jobs are final */
     GArray *team_usage;            /* rr_resources in use by the placements of each team */
     GHashTable *cancel_hints;      /* job id -> double*: when the hint expires */
--- a/src/core/views/job_views.c
+++ b/src/core/views/job_views.c
@@ -2,6 +2,7 @@
 #include "core/core_internal.h"
 #include "core/leadership.h"
 #include "core/membership/membership.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/jobs.h"
 #include "core/state/machines.h"
 #include "core/submissions.h"
--- a/src/core/views/package_views.c
+++ b/src/core/views/package_views.c
@@ -2,6 +2,7 @@
 #include "core/core_internal.h"
 #include "core/extensions.h"
 #include "core/state/cancel_hints.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/job_records.h"
 #include "core/state/jobs.h"
 #include "core/state/machine_pages.h"
--- a/src/core/views/submission_check.c
+++ b/src/core/views/submission_check.c
@@ -3,6 +3,7 @@
 #include "core/leadership.h"
 #include "core/membership/membership.h"
 #include "core/scheduling/gang_phase.h"
+#include "core/state/job_outcomes.h"
 #include "core/state/jobs.h"
 #include "core/state/machine_pages.h"
 #include "core/state/resources.h"
--- a/tests/test_core_late_copies.c
+++ b/tests/test_core_late_copies.c
@@ -1,6 +1,7 @@
 /* Late copies of start commands that were carried out and answered: none may start a task again,
  * whatever has become of the task since. */
 #include "core/leadership.h"
+#include "core/stats.h"
 #include "core_fixture.h"
 #include "worker_model.h"
 
@@ -111,6 +112,63 @@
     assert_int_equal(worker_fleet_count(fleet, JOB, 0), 0);
 }
 
+/* Waits until the controller keeps no more of any job than its outcome. */
+static void run_until_jobs_evicted(worker_fleet *fleet, const test_controller *controller) {
+    rr_core_stats stats;
+    for (int i = 0; i < 40; i++) {
+        worker_fleet_advance(fleet, 30);
+        worker_fleet_run(fleet, 1);
+        rr_core_get_stats(controller->core, &stats);
+        if (stats.retained_jobs == 0) {
+            return;
+        }
+    }
+    fail_msg("%u jobs are still kept", stats.retained_jobs);
+}
+
+/* The attempts are reserved in the term before the one in which they are started; at least one of
+ * the teams is not the autoscaler's. */
+static void evicted_job_is_not_started_again_by_copy_of_next_owners_start(void **state) {
+    static const char *const job_ids[] = {"req-1", "req-2"}, *const teams[] = {"red", "blue"};
+    struct late_copies_fixture *fixture = *state;
+    worker_fleet *fleet = &fixture->fleet;
+    test_controller *first_owner = &fixture->core->controller, other;
+    rr_plan plan;
+    for (int i = 0; i < 2; i++) {
+        submit(fixture, &(struct test_job){.job_id = job_ids[i], .team = teams[i]});
+    }
+    fake_store_sync(fixture->core->store, first_owner->core, first_owner->now);
+    assert_int_equal(test_controller_plan(first_owner, &plan), 1);
+    rr_plan_clear(&plan);
+    test_controller_init(&other, fixture->core->store, "n1");
+    other.now = first_owner->now;
+    test_controller_join(&other, 9);
+    worker_fleet_add_controller(fleet, &other);
+    worker_fleet_run(fleet, 4);
+    for (int i = 0; i < 2; i++) {
+        worker_model *worker = worker_fleet_find(fleet, job_ids[i], 0);
+        assert_non_null(worker);
+        worker_end_task(worker, job_ids[i], 0, RR_EXIT_DONE);
+    }
+    run_until_jobs_evicted(fleet, first_owner);
+    run_until_jobs_evicted(fleet, &other);
+    /* New work on every machine, with which ended attempts could be reaped. */
+    submit(fixture, &(struct test_job){.job_id = "req-3", .service = true, .task_count = 2});
+    worker_fleet_run(fleet, 20);
+    assert_int_equal(fake_store_placed_count(fixture->core->store, "req-3"), 2);
+    worker_fleet_deliver_copies(fleet);
+    assert_int_equal(worker_fleet_count(fleet, job_ids[0], 0), 0);
+    assert_int_equal(worker_fleet_count(fleet, job_ids[1], 0), 0);
+    test_controller_join(first_owner, 8);
+    worker_fleet_run(fleet, 20);
+    worker_fleet_deliver_copies(fleet);
+    assert_int_equal(worker_count_ended(&fleet->workers[0]), 0);
+    assert_int_equal(worker_count_ended(&fleet->workers[1]), 0);
+    assert_int_equal(worker_fleet_count(fleet, job_ids[0], 0), 0);
+    assert_int_equal(worker_fleet_count(fleet, job_ids[1], 0), 0);
+    test_controller_clear(&other);
+}
+
 static void ended_attempts_are_reaped_in_next_term(void **state) {
     struct late_copies_fixture *fixture = *state;
     worker_fleet *fleet = &fixture->fleet;
@@ -169,6 +227,7 @@
         TEST(moved_task_is_not_started_again_by_copy_of_answered_start),
         TEST(refused_task_is_not_started_by_copy_of_answered_start),
         TEST(completed_task_is_not_started_again_by_copy_of_answered_start),
+        TEST(evicted_job_is_not_started_again_by_copy_of_next_owners_start),
         TEST(ended_attempts_are_reaped_in_next_term),
         cmocka_unit_test_setup_teardown(new_term_bounds_ended_attempts_kept_by_a_worker,
                                         one_worker_setup, late_copies_teardown),
