Log why a command was allowed, who leads a term, and what was read when

Need: the records of the incident could not tell from the service's own lines which controller owned the team, why the first worker was told to forget the attempt, or that a task ran which the ledger did not have.

Change: at info, a line for each term with its token, the revision of its record, its members' sessions, the autoscaler and the teams owned here; and a line for a task that runs without a placement, which is not expected. At debug, the reason, token and revision for each start, stop and reap, for stops in replies to heartbeats and for refused heartbeats, and the revision and age of each watch's answer. In the minute's line, the ended attempts that workers keep and the tasks that were stopped because the ledger lacked them. must_stop() gives its reason in place of a boolean; commands are passed whole.

--- a/src/app/membership_thread.c
+++ b/src/app/membership_thread.c
@@ -44,11 +44,14 @@
     log_and_trim_resources(app);
     rr_log(RR_INFO_LEVEL,
            "last minute: %s; %d connections, %u machines (%u without a heartbeat), %u jobs open, "
-           "%u tasks placed, %u tasks waiting; since start %u moves, %u machines rented, "
-           "%u machines declared dead or returned, %u leases lost, %u spot notices",
+           "%u tasks placed, %u tasks waiting, %u ended attempts kept (%u on one machine); since "
+           "start %u moves, %u machines rented, %u machines declared dead or returned, "
+           "%u leases lost, %u spot notices, %u tasks stopped that were not in the ledger",
            line, rr_http_server_connection_count(app->http_server), stats.machines, stats.booting,
-           stats.jobs_open, stats.tasks_placed, stats.tasks_waiting, stats.tasks_moved,
-           stats.machines_rented, stats.machines_terminated, stats.leases_lost, stats.spot_notices);
+           stats.jobs_open, stats.tasks_placed, stats.tasks_waiting, stats.ended_attempts,
+           stats.ended_attempts_max, stats.tasks_moved, stats.machines_rented,
+           stats.machines_terminated, stats.leases_lost, stats.spot_notices,
+           stats.unplaced_tasks_stopped);
 }
 
 /* Updates the budget with this controller's shares of the store's limits, and logs a new fencing
--- a/src/app/watch_thread.c
+++ b/src/app/watch_thread.c
@@ -124,6 +124,12 @@
         rr_app_wake_planner(app);
     }
     pthread_mutex_unlock(&app->lock);
+    if (changes->len) {
+        rr_log(RR_DEBUG_LEVEL,
+               "store cache: read %u changes up to revision %" G_GUINT64_FORMAT
+               " with a watch sent %.0f ms ago",
+               changes->len, revision, 1000 * (now - requested_at));
+    }
 }
 
 /* Applies the answer to a watch that was sent at the steady time `requested_at`. The store promises
--- a/src/core/core_internal.h
+++ b/src/core/core_internal.h
@@ -35,6 +35,7 @@
     unsigned tasks_moved;
     unsigned probes_in_flight; /* present number of probes without an outcome yet */
     unsigned machines_rented, machines_terminated, leases_lost, spot_notices;
+    unsigned unplaced_tasks_stopped; /* stop commands for tasks that ran without a placement */
 };
 
 struct rr_core {
--- a/src/core/health/heartbeat_replies.c
+++ b/src/core/health/heartbeat_replies.c
@@ -36,6 +36,16 @@
            heartbeat->fencing_token <= core->membership.term.token;
 }
 
+/* Logs what the decision whether to renew the lease rests on. */
+static void log_refused_heartbeat(const rr_core *core, double now, const rr_heartbeat *heartbeat) {
+    rr_log_at(core, RR_LOG_DEBUG,
+              "heartbeat of machine %s refused: %s of term %" G_GUINT64_FORMAT
+              ", worker's token %" G_GUINT64_FORMAT ", store cache %.1f s old",
+              heartbeat->machine, rr_is_member(core) ? "member" : "no member",
+              core->membership.term.token, heartbeat->fencing_token,
+              now - core->stored.current_as_of);
+}
+
 /* Returns whether this controller knows that the task's job is cancelled, or knows only the job's
  * final outcome. */
 static bool is_cancelled_or_final(const rr_core *core, const rr_task_status *task, double now) {
@@ -54,6 +64,11 @@
         if (task->state == RR_TASK_ENDED || !is_cancelled_or_final(core, task, now)) {
             continue;
         }
+        rr_log_at(core, RR_LOG_DEBUG,
+                  "stop task %s/%u attempt %" G_GUINT64_FORMAT
+                  " in the reply to machine %s: job cancelled or final; token %" G_GUINT64_FORMAT,
+                  task->job_id, task->task, task->attempt, heartbeat->machine,
+                  core->membership.term.token);
         rr_command command = {
             .kind = RR_COMMAND_STOP, .task = task->task, .attempt = task->attempt, .grace_s = 0};
         g_strlcpy(command.job_id, task->job_id, sizeof command.job_id);
@@ -65,6 +80,7 @@
                                 struct rr_heartbeat_reply *out) {
     memset(out, 0, sizeof *out);
     if (!may_renew_lease(core, now, heartbeat)) {
+        log_refused_heartbeat(core, now, heartbeat);
         out->peer = choose_other_controller(core, heartbeat);
         out->status =
             out->peer ? RR_HEARTBEAT_REPLY_OTHER_CONTROLLER : RR_HEARTBEAT_REPLY_UNAVAILABLE;
--- a/src/core/membership/term.c
+++ b/src/core/membership/term.c
@@ -31,6 +31,32 @@
     }
 }
 
+/* Logs who holds which role in the present term. */
+static void log_term(const rr_core *core) {
+    const struct rr_membership *membership = &core->membership;
+    GString *members = g_string_new(NULL);
+    for (guint i = 0; i < membership->term.members->len; i++) {
+        const rr_session *member = &g_array_index(membership->term.members, rr_session, i);
+        g_string_append_printf(members, "%s%s (session %" G_GUINT64_FORMAT "%s)", i ? ", " : "",
+                               member->name, member->lease_id,
+                               (int)i == membership->autoscaler_member ? ", autoscaler" : "");
+    }
+    GString *teams = g_string_new(NULL);
+    for (size_t i = 0; i < core->config->team_count; i++) {
+        if (rr_owns_team(core, (int)i)) {
+            g_string_append_printf(teams, "%s%s", teams->len ? ", " : "",
+                                   core->config->teams[i].name);
+        }
+    }
+    rr_log_at(core, RR_LOG_INFO,
+              "token %" G_GUINT64_FORMAT ", term record of revision %" G_GUINT64_FORMAT
+              ": members %s; teams owned here: %s",
+              membership->term.token, membership->term.version, members->str,
+              teams->len ? teams->str : "none");
+    g_string_free(teams, TRUE);
+    g_string_free(members, TRUE);
+}
+
 void rr_term_put(rr_core *core, const msgpack_object *value, uint64_t version) {
     rr_term *term = &core->membership.term;
     uint64_t token;
@@ -39,8 +65,9 @@
         !member_records || member_records->type != MSGPACK_OBJECT_ARRAY) {
         return;
     }
+    bool is_new = token != term->token;
     term->version = version;
-    if (token != term->token) {
+    if (is_new) {
         core->membership.attempt_counter = 0;
         core->membership.new_term_due = false;
     }
@@ -48,6 +75,9 @@
     rr_map_get_number(value, RR_RECORD_FIRST_TERM_AT, &term->first_term_at);
     decode_members(core, member_records);
     rr_assign_shards(core);
+    if (is_new) {
+        log_term(core);
+    }
     g_array_set_size(core->planning.planned_moves,
                      0); /* the jobs' teams may have other owners now */
 }
--- a/src/core/scheduling/command_batches.c
+++ b/src/core/scheduling/command_batches.c
@@ -35,13 +35,22 @@
     return batch;
 }
 
-void rr_plan_add_command(struct rr_planner *planner, rr_machine *machine,
-                         enum rr_command_kind command_kind, const char *job_id, uint32_t task,
-                         uint64_t attempt, double grace_s) {
-    rr_command command = {
-        .kind = command_kind, .task = task, .attempt = attempt, .grace_s = grace_s};
-    g_strlcpy(command.job_id, job_id, sizeof command.job_id);
-    g_array_append_val(rr_plan_get_command_batch(planner, machine)->commands, command);
+static void log_command(const rr_core *core, const rr_machine *machine, const rr_command *command,
+                        const char *reason) {
+    static const char *const kind_names[] = {
+        [RR_COMMAND_START] = "start", [RR_COMMAND_STOP] = "stop", [RR_COMMAND_REAP] = "reap"};
+    rr_log_at(core, RR_LOG_DEBUG,
+              "%s task %s/%u attempt %" G_GUINT64_FORMAT
+              " on machine %s: %s; token %" G_GUINT64_FORMAT
+              ", store cache at revision %" G_GUINT64_FORMAT,
+              kind_names[command->kind], command->job_id, command->task, command->attempt,
+              machine->name, reason, core->membership.term.token, core->stored.revision);
+}
+
+void rr_plan_add_command(struct rr_planner *planner, rr_machine *machine, const rr_command *command,
+                         const char *reason) {
+    log_command(planner->core, machine, command, reason);
+    g_array_append_val(rr_plan_get_command_batch(planner, machine)->commands, *command);
 }
 
 void rr_plan_close_command_batches(struct rr_planner *planner) {
--- a/src/core/scheduling/placement_verdict.c
+++ b/src/core/scheduling/placement_verdict.c
@@ -84,13 +84,28 @@
     return any_stopping && !rr_resources_fit(used, rr_machine_capacity(core, machine));
 }
 
-/* Whether the placement's task must be stopped if it runs, and must not be started. */
-static bool must_stop(const struct rr_planner *planner, const rr_machine *machine,
-                      const rr_placement *placement, enum rr_gang_stop_mode gang_stop) {
+/* Returns why the placement's task must be stopped if it runs, and must not be started. NULL: it
+ * may run. */
+static const char *find_stop_reason(const struct rr_planner *planner, const rr_machine *machine,
+                                    const rr_placement *placement,
+                                    enum rr_gang_stop_mode gang_stop) {
     const rr_job *job = placement->job;
-    return gang_stop != RR_GANG_STOP_NONE || job->cancelled || rr_job_revoked(planner->core, job) ||
-           rr_job_task_done(job, placement->task) || placement->preempt ||
-           machine->heartbeat.spot_notice_s >= 0;
+    if (job->cancelled) {
+        return "job cancelled";
+    }
+    if (rr_job_revoked(planner->core, job)) {
+        return "job revoked by another cell";
+    }
+    if (rr_job_task_done(job, placement->task)) {
+        return "task done";
+    }
+    if (gang_stop != RR_GANG_STOP_NONE) {
+        return "gang stopping";
+    }
+    if (placement->preempt) {
+        return "preempted";
+    }
+    return machine->heartbeat.spot_notice_s >= 0 ? "spot notice" : NULL;
 }
 
 /* Returns the time that a stopped task gets to save its state, 0: none. */
@@ -139,7 +154,7 @@
 
 static struct rr_placement_verdict make_terminated_verdict(bool completed, const char *proof) {
     return (struct rr_placement_verdict){
-        .action = RR_PLACEMENT_TERMINATED, .completed = completed, .proof = proof};
+        .action = RR_PLACEMENT_TERMINATED, .completed = completed, .reason = proof};
 }
 
 /* Returns the verdict on a placement that is to run and that the machine does not report. */
@@ -150,15 +165,15 @@
         placement->start_at > 0 && planner->now - placement->start_at < RR_COMMAND_RESEND_S;
     bool blocked = sent_recently || must_wait_for_stops(planner->core, machine) ||
                    has_older_attempt(placement) || machine->scaling_in;
-    return make_verdict(blocked ? RR_PLACEMENT_WAIT : RR_PLACEMENT_START);
+    return blocked ? make_verdict(RR_PLACEMENT_WAIT)
+                   : (struct rr_placement_verdict){.action = RR_PLACEMENT_START,
+                                                   .reason = "placed and not reported"};
 }
 
 /* Returns the verdict on a placement that must not run. */
-static struct rr_placement_verdict decide_stop(const struct rr_planner *planner,
-                                               const rr_machine *machine,
-                                               const rr_placement *placement,
-                                               const rr_task_status *task,
-                                               enum rr_gang_stop_mode gang_stop) {
+static struct rr_placement_verdict decide_stop(
+    const struct rr_planner *planner, const rr_machine *machine, const rr_placement *placement,
+    const rr_task_status *task, enum rr_gang_stop_mode gang_stop, const char *reason) {
     bool start_may_arrive = rr_start_may_arrive(planner->core, machine, placement->attempt);
     /* The machine refuses commands with older fencing tokens, and no start under the present token
      * may still arrive: the task can't start there any more. */
@@ -172,6 +187,7 @@
     }
     return (struct rr_placement_verdict){.action = task ? RR_PLACEMENT_STOP
                                                         : RR_PLACEMENT_INVALIDATE_START,
+                                         .reason = reason,
                                          .grace_s = task ? grace_s : 0};
 }
 
@@ -196,13 +212,13 @@
         job->submission.kind == RR_JOB_GANG
             ? rr_derive_gang_stop_mode(planner->core, job, planner->now)
             : RR_GANG_STOP_NONE;
-    bool stop = must_stop(planner, machine, placement, gang_stop);
-    if (task && !stop) {
+    const char *stop_reason = find_stop_reason(planner, machine, placement, gang_stop);
+    if (task && !stop_reason) {
         return make_verdict(RR_PLACEMENT_KEEP);
     }
     if (!rr_machine_accepts_commands(planner, machine)) {
         return make_verdict(RR_PLACEMENT_WAIT);
     }
-    return stop ? decide_stop(planner, machine, placement, task, gang_stop)
-                : decide_start(planner, machine, placement);
+    return stop_reason ? decide_stop(planner, machine, placement, task, gang_stop, stop_reason)
+                       : decide_start(planner, machine, placement);
 }
--- a/src/core/scheduling/placement_verdict.h
+++ b/src/core/scheduling/placement_verdict.h
@@ -21,9 +21,9 @@
 /* An action with its parameters. */
 struct rr_placement_verdict {
     enum rr_placement_action action;
-    bool completed;    /* TERMINATED: the task is done */
-    const char *proof; /* TERMINATED: why it is known to be terminated, for the log; else NULL */
-    double grace_s;    /* STOP: seconds that the task gets to save its state, 0: none */
+    bool completed;     /* TERMINATED: the task is done */
+    const char *reason; /* why, for the log: the proof of TERMINATED; NULL for KEEP and WAIT */
+    double grace_s;     /* STOP: seconds that the task gets to save its state, 0: none */
 };
 
 /* Returns what to do about a placement, without side effects. task: its status in the machine's
--- a/src/core/scheduling/reconciliation.c
+++ b/src/core/scheduling/reconciliation.c
@@ -22,11 +22,16 @@
     return job->team >= 0 && rr_owns_team(core, job->team);
 }
 
+/* Adds a command for the placement's task, with the verdict's grace and reason. */
 static void add_task_command(struct rr_planner *planner, rr_machine *machine,
                              enum rr_command_kind kind, const rr_placement *placement,
-                             double grace_s) {
-    rr_plan_add_command(planner, machine, kind, placement->job->submission.job_id, placement->task,
-                        placement->attempt, grace_s);
+                             const struct rr_placement_verdict *verdict) {
+    rr_command command = {.kind = kind,
+                          .task = placement->task,
+                          .attempt = placement->attempt,
+                          .grace_s = verdict->grace_s};
+    g_strlcpy(command.job_id, placement->job->submission.job_id, sizeof command.job_id);
+    rr_plan_add_command(planner, machine, &command, verdict->reason);
 }
 
 /* Acts on the verdict on one placement. Returns whether to reconcile the machine again in the next
@@ -42,19 +47,19 @@
         break;
     case RR_PLACEMENT_TERMINATED:
         rr_plan_add_terminated_placement(planner, machine, placement, verdict.completed,
-                                         verdict.proof);
+                                         verdict.reason);
         break;
     case RR_PLACEMENT_START:
-        add_task_command(planner, machine, RR_COMMAND_START, placement, 0);
+        add_task_command(planner, machine, RR_COMMAND_START, placement, &verdict);
         placement->start_at = planner->now;
         break;
     case RR_PLACEMENT_INVALIDATE_START:
         /* Starting and stopping the attempt under the same fencing token leaves it on the machine
          * as exited, which blocks an earlier start command that arrives late. */
-        add_task_command(planner, machine, RR_COMMAND_START, placement, 0);
+        add_task_command(planner, machine, RR_COMMAND_START, placement, &verdict);
         /* fall through */
     case RR_PLACEMENT_STOP:
-        add_task_command(planner, machine, RR_COMMAND_STOP, placement, verdict.grace_s);
+        add_task_command(planner, machine, RR_COMMAND_STOP, placement, &verdict);
         placement->stop_at = planner->now;
         placement->stop_grace_s = verdict.grace_s;
         break;
@@ -101,6 +106,27 @@
     return owns_job(core, job) && !rr_placement_find(machine, task->attempt, job, task->task);
 }
 
+/* Adds a command for a reported task that is not in the ledger. */
+static void add_unknown_task_command(struct rr_planner *planner, rr_machine *machine,
+                                     enum rr_command_kind kind, const rr_task_status *task,
+                                     const char *reason) {
+    rr_command command = {.kind = kind, .task = task->task, .attempt = task->attempt};
+    g_strlcpy(command.job_id, task->job_id, sizeof command.job_id);
+    rr_plan_add_command(planner, machine, &command, reason);
+}
+
+/* Stops a task that runs without a placement, which no fault alone explains: it is logged. */
+static void stop_unknown_task(struct rr_planner *planner, rr_machine *machine,
+                              const rr_task_status *task) {
+    rr_core *core = planner->core;
+    core->counters.unplaced_tasks_stopped++;
+    rr_log_at(core, RR_LOG_INFO,
+              "task %s/%u attempt %" G_GUINT64_FORMAT
+              " is not in the ledger but runs on machine %s: stopping it",
+              task->job_id, task->task, task->attempt, machine->name);
+    add_unknown_task_command(planner, machine, RR_COMMAND_STOP, task, "not in the ledger");
+}
+
 /* Stops or reaps a task that is not in the ledger. Returns whether to reconcile the machine again
  * in the next plan. */
 static bool reconcile_unknown_task(struct rr_planner *planner, rr_machine *machine,
@@ -108,18 +134,18 @@
     if (!must_clean_up_task(planner, machine, task)) {
         return false;
     }
-    enum rr_command_kind kind = RR_COMMAND_STOP;
-    if (task->state == RR_TASK_ENDED) {
-        /* An ended attempt blocks late starts of it, so it is kept while one may arrive. */
-        if (rr_start_may_arrive(planner->core, machine, task->attempt)) {
-            return false;
-        }
-        if (may_defer_reap(planner, machine, task)) {
-            return true;
-        }
-        kind = RR_COMMAND_REAP;
+    if (task->state != RR_TASK_ENDED) {
+        stop_unknown_task(planner, machine, task);
+        return true;
+    }
+    /* An ended attempt blocks late starts of it, so it is kept while one may arrive. */
+    if (rr_start_may_arrive(planner->core, machine, task->attempt)) {
+        return false;
+    }
+    if (!may_defer_reap(planner, machine, task)) {
+        add_unknown_task_command(planner, machine, RR_COMMAND_REAP, task,
+                                 "ended, and no start of it carries this token");
     }
-    rr_plan_add_command(planner, machine, kind, task->job_id, task->task, task->attempt, 0);
     return true;
 }
 
--- a/src/core/stats.h
+++ b/src/core/stats.h
@@ -13,7 +13,10 @@
     unsigned machines_rented; /* since the start: machines rented from the cloud */
     unsigned machines_terminated; /* since the start: marked for release, faulty or idle */
     unsigned leases_lost;         /* since the start: workers that returned in a new worker epoch */
-    unsigned spot_notices; /* since the start: spot machines that announced their termination */
+    unsigned spot_notices;   /* since the start: spot machines that announced their termination */
+    unsigned ended_attempts; /* that workers report, since they have not been reaped */
+    unsigned ended_attempts_max;     /* most of them on one machine */
+    unsigned unplaced_tasks_stopped; /* since the start: tasks that ran without a placement */
     unsigned machines_examined; /* since the start: machines examined by plans and simulations */
     unsigned retained_jobs;     /* jobs of which more than the outcome is kept */
     double total_price;         /* sum of the recorded machines' prices */
--- a/src/core/views/core_stats.c
+++ b/src/core/views/core_stats.c
@@ -10,6 +10,8 @@
         out->machines += machine->recorded;
         out->booting += machine->recorded && !machine->heartbeat_seen;
         out->tasks_placed += machine->placements->len;
+        out->ended_attempts += machine->ended_task_count;
+        out->ended_attempts_max = MAX(out->ended_attempts_max, machine->ended_task_count);
         out->total_price += machine->recorded ? rr_machine_price(core, machine) : 0;
     }
 }
@@ -34,5 +36,6 @@
     out->machines_terminated = core->counters.machines_terminated;
     out->leases_lost = core->counters.leases_lost;
     out->spot_notices = core->counters.spot_notices;
+    out->unplaced_tasks_stopped = core->counters.unplaced_tasks_stopped;
     out->machines_examined = core->counters.machines_examined;
 }
