Tests: copies of all starts, after every step of random events

Need: the tests of the fix bring about one end of a task each. A worker may also lose its lease, a controller restart, and a copy arrive between any two of these.

Change: 40 seeds of 250 events (submissions, ends, cancellations, spot notices, refusals, lost leases, restarts of the controller), after each of which every start that was ever answered is delivered once more. No task may run on two workers, or later than 12 plans after its cancellation. The test of the bound now reaches the limit of 256 ended attempts.

--- a/tests/test_core_late_copies.c
+++ b/tests/test_core_late_copies.c
@@ -2,6 +2,7 @@
  * whatever has become of the task since. */
 #include "core/leadership.h"
 #include "core/stats.h"
+#include "core/submissions.h"
 #include "core_fixture.h"
 #include "worker_model.h"
 
@@ -10,6 +11,11 @@
 #define JOB "req-1"
 #define SHORT_TASKS 64 /* as many as a worker has room for */
 
+/* Stated in docs/design.md, "Ended attempts that are kept". */
+#define ENDED_FOR_NEW_TERM 64
+#define ENDED_MAX 256
+#define TERM_DURATION_MIN_S 15
+
 /* A controller with a fleet of workers. */
 struct late_copies_fixture {
     core_fixture *core;
@@ -194,7 +200,8 @@
         g_snprintf(job_id, sizeof job_id, "req-%d", 100 + i);
         fake_store_submit(
             controller->store,
-            &(struct test_job){.job_id = job_id, .task_count = SHORT_TASKS, .cpus = 1, .mem_gb = 1},
+            &(struct test_job){
+                .job_id = job_id, .task_count = SHORT_TASKS, .cpus = 0.25, .mem_gb = 0.25},
             controller->now);
         worker_fleet_run(fleet, 2);
         worker_end_all_tasks(worker, RR_EXIT_DONE);
@@ -212,10 +219,151 @@
     double started_at = controller->now;
     int most_ended = run_short_arrays(fleet, 100);
     uint64_t terms = rr_core_fencing_token(controller->core) - first_token;
-    assert_true(most_ended > 64);
-    assert_true(most_ended <= 256 + SHORT_TASKS);
+    assert_true(most_ended > ENDED_FOR_NEW_TERM);
+    assert_true(most_ended <= ENDED_MAX + SHORT_TASKS);
     assert_true(terms >= 2);
-    assert_true((double)terms <= (controller->now - started_at) / 15);
+    assert_true((double)terms <= (controller->now - started_at) / TERM_DURATION_MIN_S);
+}
+
+/* ---- random events ---- */
+
+#define RANDOM_SEEDS 40
+#define RANDOM_STEPS 250
+#define RANDOM_JOBS_MAX 60
+#define RANDOM_WORKERS 4
+/* Steps, each with a report and a plan, within which a cancelled task has to be gone. */
+#define CANCEL_STEPS_MAX 12
+
+/* A run of random events, in which copies of all starts arrive after every step. */
+struct random_run {
+    core_fixture *core;
+    worker_fleet fleet;
+    GRand *random;
+    int job_count;
+    int cancelled_at[RANDOM_JOBS_MAX]; /* step, -1: not cancelled */
+    uint64_t last_lease_id;
+};
+
+static void format_job_id(int job, char id[16]) {
+    g_snprintf(id, 16, "req-%d", job + 1);
+}
+
+static void submit_random_job(struct random_run *run) {
+    static const char *const teams[] = {"red", "blue"};
+    char id[16];
+    if (run->job_count == RANDOM_JOBS_MAX) {
+        return;
+    }
+    format_job_id(run->job_count, id);
+    run->cancelled_at[run->job_count++] = -1;
+    fake_store_submit(run->core->store,
+                      &(struct test_job){.job_id = id,
+                                         .team = teams[g_rand_int_range(run->random, 0, 2)],
+                                         .service = g_rand_boolean(run->random),
+                                         .cpus = 2,
+                                         .mem_gb = 2},
+                      run->core->controller.now);
+}
+
+static void cancel_random_job(struct random_run *run, int step) {
+    char id[16];
+    rr_job_view view;
+    int job = g_rand_int_range(run->random, 0, run->job_count + 1);
+    if (job == run->job_count || run->cancelled_at[job] >= 0) {
+        return;
+    }
+    format_job_id(job, id);
+    test_controller *controller = &run->core->controller;
+    fake_store_sync(run->core->store, controller->core, controller->now);
+    rr_core_get_job_view(controller->core, id, controller->now, &view);
+    if (view.known && !view.done) {
+        test_controller_cancel(controller, id);
+        run->cancelled_at[job] = step;
+    }
+}
+
+static void end_random_task(struct random_run *run, worker_model *worker) {
+    static const enum rr_exit_reason reasons[] = {RR_EXIT_DONE, RR_EXIT_ERROR, RR_EXIT_ERROR,
+                                                  RR_EXIT_OTHER};
+    if (worker->tasks->len == 0) {
+        return;
+    }
+    const rr_task_status *status =
+        &g_array_index(worker->tasks, rr_task_status,
+                       (guint)g_rand_int_range(run->random, 0, (gint)worker->tasks->len));
+    if (status->state != RR_TASK_ENDED) {
+        worker_end_task(worker, status->job_id, status->task,
+                        reasons[g_rand_int_range(run->random, 0, 4)]);
+    }
+}
+
+/* Replaces the controller by a process that has to learn everything again. */
+static void restart_run_controller(struct random_run *run) {
+    test_controller *controller = &run->core->controller;
+    rr_core_destroy(controller->core);
+    controller->core = rr_core_create(&controller->config);
+    fake_store_reload(run->core->store, controller->core, controller->now);
+    test_controller_join(controller, ++run->last_lease_id);
+}
+
+static void cause_random_event(struct random_run *run, int step) {
+    worker_model *worker =
+        &run->fleet.workers[g_rand_int_range(run->random, 0, run->fleet.worker_count)];
+    int event = g_rand_int_range(run->random, 0, 100);
+    if (event < 30) {
+        submit_random_job(run);
+    } else if (event < 60) {
+        end_random_task(run, worker);
+    } else if (event < 75) {
+        cancel_random_job(run, step);
+    } else if (event < 83) {
+        worker->spot_notice_s = worker->spot_notice_s < 0 ? 60 : -1;
+    } else if (event < 91) {
+        worker->refuses_starts = !worker->refuses_starts;
+    } else if (event < 95) {
+        worker_lose_lease(worker);
+    } else if (event < 97) {
+        restart_run_controller(run);
+    }
+}
+
+static void assert_no_task_runs_wrongly(const struct random_run *run, unsigned seed, int step) {
+    char id[16];
+    for (int job = 0; job < run->job_count; job++) {
+        format_job_id(job, id);
+        int count = worker_fleet_count(&run->fleet, id, 0);
+        bool cancelled =
+            run->cancelled_at[job] >= 0 && step - run->cancelled_at[job] > CANCEL_STEPS_MAX;
+        if (count > 1 || (cancelled && count > 0)) {
+            fail_msg("seed %u, step %d: %s runs on %d workers%s", seed, step, id, count,
+                     cancelled ? " after its cancellation" : "");
+        }
+    }
+}
+
+static void run_random_seed(unsigned seed) {
+    struct random_run run = {.random = g_rand_new_with_seed(seed), .last_lease_id = 100};
+    core_fixture_setup((void **)&run.core);
+    worker_fleet_init(&run.fleet, &run.core->controller, RANDOM_WORKERS);
+    for (int step = 0; step < RANDOM_STEPS; step++) {
+        cause_random_event(&run, step);
+        if (g_rand_int_range(run.random, 0, 3)) {
+            worker_fleet_run(&run.fleet, 1);
+        }
+        worker_fleet_deliver_copies(&run.fleet);
+        assert_no_task_runs_wrongly(&run, seed, step);
+    }
+    assert_true(run.fleet.answered_batches->len > 20);
+    worker_fleet_clear(&run.fleet);
+    core_fixture_teardown((void **)&run.core);
+    g_rand_free(run.random);
+}
+
+static void copies_of_all_starts_have_no_effect_under_random_events(void **state) {
+    (void)state;
+    for (unsigned seed = 1; seed <= RANDOM_SEEDS; seed++) {
+        run_random_seed(seed);
+    }
 }
 
 #define TEST(name) cmocka_unit_test_setup_teardown(name, late_copies_setup, late_copies_teardown)
@@ -231,6 +379,7 @@
         TEST(ended_attempts_are_reaped_in_next_term),
         cmocka_unit_test_setup_teardown(new_term_bounds_ended_attempts_kept_by_a_worker,
                                         one_worker_setup, late_copies_teardown),
+        cmocka_unit_test(copies_of_all_starts_have_no_effect_under_random_events),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
