Count no failure again that a worker kept from before a restart

Need: a consequence of keeping ended attempts for a term. A controller that starts hears each machine for the first time and took all ended attempts in that heartbeat for news: failures of minutes ago put the machine into quarantine for 60 s, and jobs into backoff. Before, such attempts were reaped within a second.

Change: in the first heartbeat that a process gets from a machine, an end counts only if the ledger still has the attempt.

--- a/src/core/health/heartbeat_contents.c
+++ b/src/core/health/heartbeat_contents.c
@@ -70,14 +70,26 @@
     }
 }
 
+/* Returns whether the end of this task is news. Workers keep ended attempts for the rest of a term,
+ * so in the first heartbeat that this process gets, only an attempt that the ledger still has can
+ * have ended lately. */
+static bool has_just_ended(const rr_machine *machine, const rr_task_status *task,
+                           const rr_job *job) {
+    if (task->state != RR_TASK_ENDED || was_reported_ended(machine, task)) {
+        return false;
+    }
+    return machine->heartbeat_seen ||
+           (job && rr_placement_find(machine, task->attempt, job, task->task));
+}
+
 static void record_ended_tasks(rr_core *core, rr_machine *machine, const rr_heartbeat *heartbeat,
                                double now) {
     for (guint i = 0; i < heartbeat->tasks->len; i++) {
         const rr_task_status *task = &g_array_index(heartbeat->tasks, rr_task_status, i);
-        if (task->state != RR_TASK_ENDED || was_reported_ended(machine, task)) {
+        rr_job *job = g_hash_table_lookup(core->stored.jobs, task->job_id);
+        if (!has_just_ended(machine, task, job)) {
             continue;
         }
-        rr_job *job = g_hash_table_lookup(core->stored.jobs, task->job_id);
         if (task->exit_reason == RR_EXIT_ERROR && job) {
             rr_record_task_failure(core, machine, job, now);
         } else if (task->exit_reason == RR_EXIT_NO_RESOURCES) {
--- a/tests/test_core_failure_detection.c
+++ b/tests/test_core_failure_detection.c
@@ -297,9 +297,10 @@
     fake_store_submit(fixture->store, &(struct test_job){.job_id = "req-3", .cpus = 16},
                       controller->now);
     fake_store_sync(fixture->store, controller->core, controller->now);
+    send_fleet_heartbeats(controller, 1, 4, 1);
     /* req-1 fails everywhere, req-2 on vm-1 only. */
     for (int i = 0; i < 4; i++) {
-        test_controller_heartbeat(controller, ids[i], "a", false, 1, 1, 1, "req-1 0 5 ended:error",
+        test_controller_heartbeat(controller, ids[i], "a", false, 1, 2, 1, "req-1 0 5 ended:error",
                                   i == 0 ? "req-2 0 6 ended:error" : NULL, NULL);
     }
     controller->now += 1;
--- a/tests/test_core_late_copies.c
+++ b/tests/test_core_late_copies.c
@@ -225,6 +225,30 @@
     assert_true((double)terms <= (controller->now - started_at) / TERM_DURATION_MIN_S);
 }
 
+static void restarted_controller_does_not_count_kept_failures_again(void **state) {
+    static const char *const failing[] = {"req-1", "req-2"};
+    struct late_copies_fixture *fixture = *state;
+    test_controller *controller = &fixture->core->controller;
+    worker_fleet *fleet = &fixture->fleet;
+    for (int i = 0; i < 2; i++) {
+        worker_model *worker = submit_and_run(fixture, &(struct test_job){.job_id = failing[i]});
+        worker_end_task(worker, failing[i], 0, RR_EXIT_ERROR);
+        worker_fleet_report(fleet);
+        test_controller_cancel(controller, failing[i]);
+        worker_fleet_run(fleet, 2);
+    }
+    for (int i = 0; i < 40; i++) { /* the worker's quarantine ends */
+        worker_fleet_advance(fleet, 2);
+        worker_fleet_run(fleet, 1);
+    }
+    assert_int_equal(worker_count_ended(&fleet->workers[0]), 2);
+    rr_core_destroy(controller->core);
+    controller->core = rr_core_create(&controller->config);
+    fake_store_reload(controller->store, controller->core, controller->now);
+    test_controller_join(controller, 8);
+    submit_and_run(fixture, &(struct test_job){.job_id = "req-3"});
+}
+
 /* ---- random events ---- */
 
 #define RANDOM_SEEDS 40
@@ -379,6 +403,8 @@
         TEST(ended_attempts_are_reaped_in_next_term),
         cmocka_unit_test_setup_teardown(new_term_bounds_ended_attempts_kept_by_a_worker,
                                         one_worker_setup, late_copies_teardown),
+        cmocka_unit_test_setup_teardown(restarted_controller_does_not_count_kept_failures_again,
+                                        one_worker_setup, late_copies_teardown),
         cmocka_unit_test(copies_of_all_starts_have_no_effect_under_random_events),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
