--- a/src/core/scheduling/reconciliation.c
+++ b/src/core/scheduling/reconciliation.c
@@ -115,7 +115,7 @@
     rr_plan_add_command(planner, machine, &command, reason);
 }
 
-/* Stops a task that runs without a placement, which no fault alone explains: it is logged. */
+/* Stops a task that runs without a placement, and logs that, since it is not expected. */
 static void stop_unknown_task(struct rr_planner *planner, rr_machine *machine,
                               const rr_task_status *task) {
     rr_core *core = planner->core;
--- a/src/core/state/machines.h
+++ b/src/core/state/machines.h
@@ -41,14 +41,14 @@
     double suspect_probes_failed_at; /* when the first of them failed */
     rr_heartbeat heartbeat;          /* newest one; valid if heartbeat_seen */
     uint64_t heartbeat_hash;         /* of the content of the newest heartbeat */
-    guint ended_task_count;          /* tasks that the newest heartbeat reports as ended */
     double heartbeat_at;             /* when the last heartbeat, digest or answer arrived */
     double known_at;                 /* when the machine or its record became known */
     double direct_path_bad_until;    /* until then commands are sent through a peer */
     double last_own_heartbeat_at;    /* to any controller; answers don't count */
-    int forwarding_peer; /* index of the peer that forwarded the last heartbeat, -1: none did */
-    GArray *images;      /* int: name indices of the images that the machine has, oldest first */
-    GArray *failed_jobs; /* rr_job*: jobs of which a task failed here */
+    int forwarding_peer;    /* index of the peer that forwarded the last heartbeat, -1: none did */
+    guint ended_task_count; /* tasks that the newest heartbeat reports as ended */
+    GArray *images;         /* int: name indices of the images that the machine has, oldest first */
+    GArray *failed_jobs;    /* rr_job*: jobs of which a task failed here */
     double last_task_failure_at; /* when a task last failed here */
     double full_until;       /* no new work is placed before this time, since the worker was full */
     GHashTable *sent_starts; /* uint64_t*: attempts whose start command was sent, see
