Request a new term after many starts: a bound on memory, not only by machine

Need: the bound of 64 ended attempts a machine lets 4,500 machines together keep 288,000 of them, in every controller.

Change: the owners together request a new term after 16,384 start commands, each after its share, and not before the term has lasted 15 s.

Ruled out: a count of the attempts that workers report. Machines that can't be reached keep theirs in the next term as well, and each term would be replaced after 15 s until they return.

Test: new_term_bounds_starts_whose_attempts_are_kept fails without the change (no new term).

--- a/src/core/scheduling/command_batches.c
+++ b/src/core/scheduling/command_batches.c
@@ -50,6 +50,7 @@
 void rr_plan_add_command(struct rr_planner *planner, rr_machine *machine, const rr_command *command,
                          const char *reason) {
     log_command(planner->core, machine, command, reason);
+    planner->core->planning.starts_in_term += command->kind == RR_COMMAND_START;
     g_array_append_val(rr_plan_get_command_batch(planner, machine)->commands, *command);
 }
 
--- a/src/core/scheduling/late_start_blocks.c
+++ b/src/core/scheduling/late_start_blocks.c
@@ -8,9 +8,16 @@
 /* A new term is requested for a machine that reports this many ended attempts. Workers report them
  * in every heartbeat. */
 #define ENDED_ATTEMPTS_FOR_NEW_TERM 64
-/* A term is not replaced for this reason before it has lasted this long. */
+/* A new term is requested after this many start commands of all owners together. Each may leave an
+ * ended attempt, which takes memory in every controller. */
+#define STARTS_FOR_NEW_TERM 16384
+/* A term is not replaced for these reasons before it has lasted this long. */
 #define TERM_DURATION_MIN_S 15.0
 
+static bool term_is_young(const struct rr_planner *planner) {
+    return planner->now - planner->core->planning.term_planned_since < TERM_DURATION_MIN_S;
+}
+
 /* Whether one of the ended attempts that the machine reports has to be kept in this term. */
 static bool blocks_any_start(const rr_core *core, const rr_machine *machine) {
     for (guint i = 0; i < machine->heartbeat.tasks->len; i++) {
@@ -28,7 +35,7 @@
         !blocks_any_start(core, machine)) {
         return false;
     }
-    if (planner->now - core->planning.term_planned_since < TERM_DURATION_MIN_S) {
+    if (term_is_young(planner)) {
         return true;
     }
     rr_log_at(core, RR_LOG_INFO,
@@ -38,3 +45,16 @@
     rr_request_new_term(core);
     return true;
 }
+
+void rr_request_term_for_many_starts(const struct rr_planner *planner) {
+    rr_core *core = planner->core;
+    unsigned starts_max = STARTS_FOR_NEW_TERM / MAX(core->membership.shard_count, 1);
+    if (core->planning.starts_in_term < starts_max || term_is_young(planner)) {
+        return;
+    }
+    rr_log_at(core, RR_LOG_INFO,
+              "%u starts in term %" G_GUINT64_FORMAT
+              ": requesting a new term, so that ended attempts can be reaped",
+              core->planning.starts_in_term, core->membership.term.token);
+    rr_request_new_term(core);
+}
--- a/src/core/scheduling/late_start_blocks.h
+++ b/src/core/scheduling/late_start_blocks.h
@@ -10,5 +10,8 @@
  * reaped only in a later term. Returns whether to call it again in the next plan, even if the
  * machine reports nothing new until then: the present term is too young to be replaced. */
 bool rr_request_term_for_blocked_starts(struct rr_planner *planner, const rr_machine *machine);
+/* Requests a new term if this controller has sent its share of the starts of one term. This bounds
+ * the memory that all machines' ended attempts take in every controller. */
+void rr_request_term_for_many_starts(const struct rr_planner *planner);
 
 #endif
--- a/src/core/scheduling/planning_state.h
+++ b/src/core/scheduling/planning_state.h
@@ -19,6 +19,7 @@
     double last_rebalancing_at;     /* last rebalancing, or set to time the next stability check */
     double stable_since;            /* time of the last observed disturbance, 0: none */
     double term_planned_since;      /* first plan in the present term */
+    unsigned starts_in_term;        /* start commands planned in the present term */
     uint64_t stability_check_token; /* fencing token of the term at the last stability check */
     int rebalance_moves_left;       /* moves that may start until the next rebalancing */
     unsigned placement_plan_count;  /* plans that placed waiting jobs */
--- a/src/core/scheduling/reconciliation.c
+++ b/src/core/scheduling/reconciliation.c
@@ -246,6 +246,7 @@
     }
     core->membership.fully_dirty_token = core->membership.term.token;
     core->planning.term_planned_since = planner->now;
+    core->planning.starts_in_term = 0;
     for (guint i = 0; i < core->stored.machine_list->len; i++) {
         rr_machine_mark_dirty(core, g_ptr_array_index(core->stored.machine_list, i));
     }
@@ -268,4 +269,5 @@
     g_ptr_array_set_size(dirty, (gint)kept_count);
     reconcile_gangs(planner, gangs);
     g_ptr_array_free(gangs, TRUE);
+    rr_request_term_for_many_starts(planner);
 }
--- a/tests/test_core_late_copies.c
+++ b/tests/test_core_late_copies.c
@@ -1,5 +1,6 @@
 /* Late copies of start commands that were carried out and answered: none may start a task again,
  * whatever has become of the task since. */
+#include "core/core_internal.h"
 #include "core/leadership.h"
 #include "core/stats.h"
 #include "core/submissions.h"
@@ -15,6 +16,7 @@
 #define ENDED_FOR_NEW_TERM 64
 #define ENDED_MAX 256
 #define TERM_DURATION_MIN_S 15
+#define STARTS_FOR_NEW_TERM 16384
 
 /* A controller with a fleet of workers. */
 struct late_copies_fixture {
@@ -249,6 +251,25 @@
     submit_and_run(fixture, &(struct test_job){.job_id = "req-3"});
 }
 
+static void new_term_bounds_starts_whose_attempts_are_kept(void **state) {
+    struct late_copies_fixture *fixture = *state;
+    test_controller *controller = &fixture->core->controller;
+    worker_fleet *fleet = &fixture->fleet;
+    uint64_t first_token = rr_core_fencing_token(controller->core);
+    worker_fleet_run(fleet, 1);
+    worker_fleet_advance(fleet, TERM_DURATION_MIN_S);
+    controller->core->planning.starts_in_term = STARTS_FOR_NEW_TERM - 2;
+    submit_and_run(fixture, &(struct test_job){.job_id = "req-1", .service = true});
+    test_controller_begin_next_term(controller);
+    assert_true(rr_core_fencing_token(controller->core) == first_token);
+    submit_and_run(fixture, &(struct test_job){.job_id = "req-2", .service = true});
+    test_controller_begin_next_term(controller);
+    assert_true(rr_core_fencing_token(controller->core) == first_token + 1);
+    worker_fleet_run(fleet, 40);
+    test_controller_begin_next_term(controller);
+    assert_true(rr_core_fencing_token(controller->core) == first_token + 1);
+}
+
 /* ---- random events ---- */
 
 #define RANDOM_SEEDS 40
@@ -403,6 +424,7 @@
         TEST(ended_attempts_are_reaped_in_next_term),
         cmocka_unit_test_setup_teardown(new_term_bounds_ended_attempts_kept_by_a_worker,
                                         one_worker_setup, late_copies_teardown),
+        TEST(new_term_bounds_starts_whose_attempts_are_kept),
         cmocka_unit_test_setup_teardown(restarted_controller_does_not_count_kept_failures_again,
                                         one_worker_setup, late_copies_teardown),
         cmocka_unit_test(copies_of_all_starts_have_no_effect_under_random_events),
