Spread the reaps after a new term over eight heartbeat intervals

Need: at a term that is begun to reap kept attempts, all machines' reaps fell due at the same time, one heartbeat interval later.

Change: a reap waits for its machine's next command for one to eight intervals, by machine. A new term is requested after 32,768 starts in place of 16,384, which halves how often that is: some 14 MB of attempts.

--- a/src/core/scheduling/late_start_blocks.c
+++ b/src/core/scheduling/late_start_blocks.c
@@ -10,7 +10,7 @@
 #define ENDED_ATTEMPTS_FOR_NEW_TERM 64
 /* A new term is requested after this many start commands of all owners together. Each may leave an
  * ended attempt, which takes memory in every controller. */
-#define STARTS_FOR_NEW_TERM 16384
+#define STARTS_FOR_NEW_TERM 32768
 /* A term is not replaced for these reasons before it has lasted this long. */
 #define TERM_DURATION_MIN_S 15.0
 
--- a/src/core/scheduling/reconciliation.c
+++ b/src/core/scheduling/reconciliation.c
@@ -16,6 +16,8 @@
 
 /* On a machine that reports more tasks than this, exited tasks are reaped without delay. */
 #define DEFERRED_REAP_TASKS_MAX 32
+/* After a new term the reaps of all machines are spread over this many heartbeat intervals. */
+#define REAP_SPREAD_INTERVALS 8
 
 /* Whether this controller owns the job's team. */
 static bool owns_job(const rr_core *core, const rr_job *job) {
@@ -68,10 +70,11 @@
 }
 
 /* Whether the reap of an exited task may wait for the next command to the machine, usually the
- * start of the task that replaces it. The reap waits for at most one heartbeat interval, which
- * starts with the first call. A separate command would cost a connection and one more changed
- * heartbeat for every owner. Only the reap of a completed task waits: a task that has to run again
- * may be refused by a machine that still shows an earlier attempt. */
+ * start of the task that replaces it. The reap waits for at most REAP_SPREAD_INTERVALS heartbeat
+ * intervals, by machine, which start with the first call. A separate command would cost a
+ * connection and one more changed heartbeat for every owner. Only the reap of a completed task
+ * waits: a task that has to run again may be refused by a machine that still shows an earlier
+ * attempt. */
 static bool may_defer_reap(const struct rr_planner *planner, rr_machine *machine,
                            const rr_task_status *task) {
     if (machine->plan_commands || task->exit_reason != RR_EXIT_DONE ||
@@ -80,8 +83,9 @@
     }
     machine->reap_deferred_since =
         machine->reap_deferred_since > 0 ? machine->reap_deferred_since : planner->now;
+    int intervals = 1 + machine->id % REAP_SPREAD_INTERVALS;
     return planner->now - machine->reap_deferred_since <
-           planner->core->config->heartbeat_interval_s;
+           intervals * planner->core->config->heartbeat_interval_s;
 }
 
 /* Whether this controller cleans up a task of an evicted job, whose team is not known any more. The
--- a/tests/test_core_late_copies.c
+++ b/tests/test_core_late_copies.c
@@ -16,7 +16,7 @@
 #define ENDED_FOR_NEW_TERM 64
 #define ENDED_MAX 256
 #define TERM_DURATION_MIN_S 15
-#define STARTS_FOR_NEW_TERM 16384
+#define STARTS_FOR_NEW_TERM 32768
 
 /* A controller with a fleet of workers. */
 struct late_copies_fixture {
