cells_processes: prepare machines and full machines until they are there

Cause: the test's preparation, before it loses an answer. Cells offer a job that has waited for begin_wait_s, here 1 s. It submitted one job in each cell "so that each has a machine", and eight that fill a machine, once each. If one of them waits for longer, it runs in another cell, as it should: the cell then rents no machine for it, or its 16 tasks are never at home at the same time, and nothing was submitted again until the deadline.

Ruled out: the machine was not returned (none within 8 s), and an undisturbed fill takes 0.07 s, beside 24 busy processes 0.23 s at the most.

Change: jobs are submitted until each cell has rented a machine, and a fill that did not succeed within 1 s is made again after its jobs have ended. What the tests assert is as before; a fill must now be quick, so that the machine is still full when the next job is offered.

--- a/tests/test_cells_processes.c
+++ b/tests/test_cells_processes.c
@@ -168,6 +168,9 @@
 #define LOST_ANSWER_TASK_S 3.0  /* runtime of the tasks in these tests */
 #define LOST_ANSWER_WAIT_S 20.0 /* until the transaction that a test waits for has been made */
 #define MACHINE_TASKS 16u       /* as many tasks fill a cell's machine */
+/* From the submission of the jobs that fill a machine to the start of the last one. The machine
+ * then stays full until the next job has waited long enough to be offered. */
+#define FILL_MAX_S 1.0
 
 static void set_task_runtime_of_all_cells(double seconds) {
     for (int i = 0; i < RUN_CELLS; i++) {
@@ -183,13 +186,27 @@
     return job;
 }
 
-/* Starts the cells, and runs one job in each, so that each has a machine. */
+/* Submits a job in each cell that has not rented a machine yet. Returns their number. */
+static unsigned submit_jobs_to_cells_without_machine(void) {
+    unsigned submitted = 0;
+    for (int i = 0; i < RUN_CELLS; i++) {
+        if (fake_services_count_rentals(run.cells[i].services) == 0) {
+            submit_lasting_job(i);
+            submitted++;
+        }
+    }
+    return submitted;
+}
+
+/* Starts the cells, and runs jobs until each cell has a machine. One job may not be enough: if it
+ * waits for longer than begin_wait_s, it may run in another cell, and its own rents no machine. */
 static void begin_run_with_machines(double task_runtime_s) {
     run_begin(first_seed);
-    for (int i = 0; i < RUN_CELLS; i++) {
-        submit_lasting_job(i);
+    double deadline = rr_steady_clock_s() + LOST_ANSWER_WAIT_S;
+    while (submit_jobs_to_cells_without_machine() > 0) {
+        assert_true(rr_steady_clock_s() < deadline);
+        run_poll_until_settled();
     }
-    run_poll_until_settled();
     set_task_runtime_of_all_cells(task_runtime_s);
 }
 
@@ -201,15 +218,28 @@
     }
 }
 
-static void fill_machine(int cell) {
-    double deadline = rr_steady_clock_s() + LOST_ANSWER_WAIT_S;
+/* Submits as many jobs as fill the cell's machine. Returns whether all their tasks run there in
+ * time; otherwise some have waited for so long that they run in another cell. */
+static bool try_to_fill_machine(int cell) {
+    double deadline = rr_steady_clock_s() + FILL_MAX_S;
     for (unsigned tasks = 0; tasks < MACHINE_TASKS; tasks += 2) {
         submit_lasting_job(cell);
     }
     while (fake_services_count_running_tasks(run.cells[cell].services) < MACHINE_TASKS) {
-        assert_true(rr_steady_clock_s() < deadline);
+        if (rr_steady_clock_s() >= deadline) {
+            return false;
+        }
         rr_sleep(RUN_POLL_S);
     }
+    return true;
+}
+
+static void fill_machine(int cell) {
+    double deadline = rr_steady_clock_s() + LOST_ANSWER_WAIT_S;
+    while (!try_to_fill_machine(cell)) {
+        assert_true(rr_steady_clock_s() < deadline);
+        run_poll_until_settled();
+    }
 }
 
 /* Polls until all jobs are done, and fails if one has run in two cells at a time. */
