Test with processes: late copies of answered starts

Need: the tests of late copies use a model of the worker and the core alone. The way from a plan to the worker, with command threads, restarts and real terms, had none.

--- a/tests/fake_services.h
+++ b/tests/fake_services.h
@@ -52,6 +52,16 @@
 void fake_services_set_worker_lease(fake_services *services, double seconds);
 /* Sets the zone of the machine; "a" at first. */
 void fake_services_set_zone(fake_services *services, const char *zone);
+/* From now on each direct command batch with a start that the worker has executed and answered
+ * arrives once more, after a random delay between the two. */
+void fake_services_repeat_starts(fake_services *services, unsigned seed, double delay_min_s,
+                                 double delay_max_s);
+/* Returns how many batches have arrived once more. */
+unsigned fake_services_count_late_copies(fake_services *services);
+/* The worker refuses one more start of an unknown attempt for lack of resources. */
+void fake_services_refuse_next_start(fake_services *services);
+/* The job's tasks fail at the end of their runtime. There is one such job at a time. */
+void fake_services_set_failing_job(fake_services *services, const char *job_id);
 /* Removes the machine and stops all tasks on it. */
 void fake_services_remove_machine(fake_services *services);
 /* Returns the number of tasks that run. */
@@ -66,8 +76,9 @@
 /* One run of a task on the worker. Times are seconds of the steady clock. */
 typedef struct {
     char task_name[80];
+    uint64_t attempt;
     double started_at, ended_at; /* ended_at 0: still running */
-    bool done;                   /* ended by itself; false: running or stopped */
+    bool done;                   /* completed; false: running, stopped or failed */
 } fake_task_run;
 /* Returns a copy of all runs (fake_task_run) in the order of their starts; the caller frees
  * it. */
--- a/tests/fake_services_internal.h
+++ b/tests/fake_services_internal.h
@@ -33,19 +33,24 @@
     double watch_freeze_s;       /* duration of the freeze that then begins */
 };
 
+struct fake_late_copies; /* fake_late_copies.c */
+
 struct fake_worker {
     bool rented;           /* the machine exists */
     unsigned rental_count; /* rentals so far */
     char zone[RR_NAME_SIZE];
-    GArray *tasks;            /* struct task (fake_worker.c) */
-    uint64_t fencing_token;   /* highest one received */
-    uint64_t sequence;        /* of the last heartbeat */
-    double task_s;            /* runtime of a task, in seconds */
-    double lease_s;           /* tasks stop after so many seconds without an answer; 0: never */
-    double last_answer_at;    /* steady time of the last commands or answer from a controller */
-    GHashTable *first_starts; /* task name -> double *: steady time */
-    unsigned restart_count;   /* task starts beyond the first one of each task */
-    GArray *runs;             /* fake_task_run, in the order of their starts */
+    GArray *tasks;             /* struct task (fake_worker.c) */
+    uint64_t fencing_token;    /* highest one received */
+    uint64_t sequence;         /* of the last heartbeat */
+    double task_s;             /* runtime of a task, in seconds */
+    double lease_s;            /* tasks stop after so many seconds without an answer; 0: never */
+    double last_answer_at;     /* steady time of the last commands or answer from a controller */
+    GHashTable *first_starts;  /* task name -> double *: steady time */
+    unsigned restart_count;    /* task starts beyond the first one of each task */
+    GArray *runs;              /* fake_task_run, in the order of their starts */
+    unsigned starts_to_refuse; /* the next starts, which are refused for lack of resources */
+    char failing_job[80];      /* prefix of the names of tasks that fail; empty: none */
+    struct fake_late_copies *late_copies; /* owned */
     pthread_t thread;
     struct rr_endpoint current_controller; /* receives the heartbeats; port 0: none yet */
     GArray *controllers;                   /* struct rr_endpoint, every controller configured */
@@ -84,6 +89,22 @@
 int fake_cloud_answer(fake_services *services, const char *path, const char *method,
                       rr_encoder *out);
 
+/* ---- fake_late_copies.c: command batches that arrive at the worker once more ---- */
+
+/* Returns an empty queue, which takes no copies until it is enabled. */
+struct fake_late_copies *fake_late_copies_create(void);
+void fake_late_copies_destroy(struct fake_late_copies *copies);
+/* From now on batches are copied. Each copy is due after a random delay between the two. */
+void fake_late_copies_enable(struct fake_late_copies *copies, unsigned seed, double delay_min_s,
+                             double delay_max_s);
+/* Adds a copy of the batch if it has a start command. */
+void fake_late_copies_add(struct fake_late_copies *copies, const msgpack_object *batch);
+/* Removes a copy that is due and parses it into *batch, which the caller clears. Returns false, and
+ * leaves *batch alone, if none is due. */
+bool fake_late_copies_take_due(struct fake_late_copies *copies, rr_document *batch);
+/* Returns the number of copies that were taken. */
+unsigned fake_late_copies_count(const struct fake_late_copies *copies);
+
 /* ---- fake_worker.c: one worker, which runs tasks and sends heartbeats ---- */
 
 void fake_worker_init(struct fake_worker *worker);
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -11,14 +11,14 @@
 #define HEARTBEAT_INTERVAL_S 0.05
 #define HEARTBEAT_TIMEOUT_S 2
 
-enum task_state { TASK_RUNNING = 1, TASK_DONE, TASK_STOPPED };
+enum task_state { TASK_RUNNING = 1, TASK_DONE, TASK_STOPPED, TASK_FAILED, TASK_REFUSED };
 
 struct task {
     char name[80];
     uint64_t attempt;
     double ends_at; /* steady time; 0: runs until stopped */
     enum task_state state;
-    guint run; /* index of its fake_task_run in fake_worker.runs */
+    guint run; /* index of its fake_task_run in fake_worker.runs; unused if it was refused */
 };
 
 void fake_worker_init(struct fake_worker *worker) {
@@ -26,6 +26,7 @@
     worker->runs = g_array_new(FALSE, TRUE, sizeof(fake_task_run));
     worker->controllers = g_array_new(FALSE, TRUE, sizeof(struct rr_endpoint));
     worker->first_starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    worker->late_copies = fake_late_copies_create();
     worker->task_s = DEFAULT_TASK_RUNTIME_S;
     worker->last_answer_at = rr_steady_clock_s();
     g_strlcpy(worker->zone, "a", sizeof worker->zone);
@@ -35,6 +36,7 @@
     g_array_free(worker->tasks, TRUE);
     g_array_free(worker->runs, TRUE);
     g_array_free(worker->controllers, TRUE);
+    fake_late_copies_destroy(worker->late_copies);
     g_hash_table_destroy(worker->first_starts);
 }
 
@@ -51,9 +53,16 @@
     g_hash_table_insert(worker->first_starts, g_strdup(task_name), started_at);
 }
 
+static void refuse_task(struct fake_worker *worker, const char *name, uint64_t attempt) {
+    struct task task = {.attempt = attempt, .state = TASK_REFUSED};
+    g_strlcpy(task.name, name, sizeof task.name);
+    g_array_append_val(worker->tasks, task);
+    worker->starts_to_refuse--;
+}
+
 static void start_task(struct fake_worker *worker, const char *name, uint64_t attempt) {
     struct task task = {.attempt = attempt, .state = TASK_RUNNING};
-    fake_task_run run = {.started_at = rr_steady_clock_s()};
+    fake_task_run run = {.started_at = rr_steady_clock_s(), .attempt = attempt};
     /* By convention of the tests, jobs whose number begins with 5 are services. */
     bool is_service = name[strlen("req-")] == '5';
     g_strlcpy(task.name, name, sizeof task.name);
@@ -77,6 +86,13 @@
     return task->ends_at > 0 && rr_steady_clock_s() > task->ends_at;
 }
 
+/* Returns how the task ends by itself. */
+static enum task_state get_own_end(const struct fake_worker *worker, const struct task *task) {
+    size_t length = strlen(worker->failing_job);
+    bool fails = length > 0 && strncmp(task->name, worker->failing_job, length) == 0;
+    return fails ? TASK_FAILED : TASK_DONE;
+}
+
 /* Stops all running tasks once no controller has answered for the worker's lease, as a real worker
  * does. Tasks whose runtime is over count as done. */
 static void stop_tasks_after_lease(struct fake_worker *worker) {
@@ -87,7 +103,7 @@
         struct task *task = &g_array_index(worker->tasks, struct task, i);
         if (task->state == TASK_RUNNING) {
             bool finished = task_has_finished(task);
-            end_task(worker, task, finished ? TASK_DONE : TASK_STOPPED,
+            end_task(worker, task, finished ? get_own_end(worker, task) : TASK_STOPPED,
                      finished ? task->ends_at : rr_steady_clock_s());
         }
     }
@@ -118,7 +134,9 @@
     guint index = find_task(worker, name, attempt);
     struct task *task =
         index < worker->tasks->len ? &g_array_index(worker->tasks, struct task, index) : NULL;
-    if (rr_object_text_equals(kind, "start") && !task) {
+    if (rr_object_text_equals(kind, "start") && !task && worker->starts_to_refuse > 0) {
+        refuse_task(worker, name, attempt);
+    } else if (rr_object_text_equals(kind, "start") && !task) {
         start_task(worker, name, attempt);
     } else if (rr_object_text_equals(kind, "stop") && task && task->state == TASK_RUNNING) {
         end_task(worker, task, TASK_STOPPED, rr_steady_clock_s());
@@ -146,8 +164,8 @@
 
 static void encode_task(const struct task *task, rr_encoder *out) {
     /* Both indexed by enum task_state. */
-    static const char *const states[] = {"", "running", "ended", "ended"};
-    static const char *const reasons[] = {"", "", "done", "halted"};
+    static const char *const states[] = {"", "running", "ended", "ended", "ended", "ended"};
+    static const char *const reasons[] = {"", "", "done", "halted", "error", "full"};
     bool ended = task->state != TASK_RUNNING;
     rr_encode_map(out, ended ? 4 : 3);
     rr_encode_key_text(out, "piece", task->name);
@@ -177,7 +195,7 @@
     for (guint i = 0; i < worker->tasks->len; i++) {
         struct task *task = &g_array_index(worker->tasks, struct task, i);
         if (task->state == TASK_RUNNING && task_has_finished(task)) {
-            end_task(worker, task, TASK_DONE, task->ends_at);
+            end_task(worker, task, get_own_end(worker, task), task->ends_at);
         }
         encode_task(task, out);
     }
@@ -189,11 +207,24 @@
 
 int fake_worker_answer(fake_services *services, const char *path, const msgpack_object *request,
                        rr_encoder *out) {
-    bool accepted = strcmp(path, "/status") == 0 || accept_commands(&services->worker, request);
+    bool is_status = strcmp(path, "/status") == 0;
+    bool accepted = is_status || accept_commands(&services->worker, request);
+    if (accepted && !is_status) {
+        fake_late_copies_add(services->worker.late_copies, request);
+    }
     encode_heartbeat(services, out);
     return accepted ? 200 : 409;
 }
 
+/* Executes the late copies that are due. */
+static void execute_late_copies(struct fake_worker *worker) {
+    rr_document copy;
+    while (fake_late_copies_take_due(worker->late_copies, &copy)) {
+        accept_commands(worker, copy.root);
+        rr_document_clear(&copy);
+    }
+}
+
 /* ---- worker thread ---- */
 
 /* Directs heartbeats to the next configured controller. Takes the lock. */
@@ -232,8 +263,9 @@
     rr_document_clear(&document);
 }
 
-/* Expires leases of the store, stops tasks after the worker's lease, and sends a heartbeat if the
- * machine exists. Returns false if the services are stopping. Takes the lock. */
+/* Expires leases of the store, stops tasks after the worker's lease, executes late copies, and
+ * sends a heartbeat if the machine exists. Returns false if the services are stopping. Takes the
+ * lock. */
 static bool run_worker_step(fake_services *services, rr_http_client *client) {
     rr_encoder heartbeat;
     rr_encoder_init(&heartbeat);
@@ -243,6 +275,7 @@
     struct rr_endpoint controller = services->worker.current_controller;
     fake_store_service_expire_leases(services);
     stop_tasks_after_lease(&services->worker);
+    execute_late_copies(&services->worker);
     if (sends_heartbeat) {
         encode_heartbeat(services, &heartbeat);
     }
@@ -279,6 +312,33 @@
     pthread_mutex_unlock(&services->lock);
 }
 
+void fake_services_repeat_starts(fake_services *services, unsigned seed, double delay_min_s,
+                                 double delay_max_s) {
+    pthread_mutex_lock(&services->lock);
+    fake_late_copies_enable(services->worker.late_copies, seed, delay_min_s, delay_max_s);
+    pthread_mutex_unlock(&services->lock);
+}
+
+unsigned fake_services_count_late_copies(fake_services *services) {
+    pthread_mutex_lock(&services->lock);
+    unsigned count = fake_late_copies_count(services->worker.late_copies);
+    pthread_mutex_unlock(&services->lock);
+    return count;
+}
+
+void fake_services_refuse_next_start(fake_services *services) {
+    pthread_mutex_lock(&services->lock);
+    services->worker.starts_to_refuse++;
+    pthread_mutex_unlock(&services->lock);
+}
+
+void fake_services_set_failing_job(fake_services *services, const char *job_id) {
+    struct fake_worker *worker = &services->worker;
+    pthread_mutex_lock(&services->lock);
+    g_snprintf(worker->failing_job, sizeof worker->failing_job, "%s/", job_id);
+    pthread_mutex_unlock(&services->lock);
+}
+
 GArray *fake_services_runs(fake_services *services) {
     pthread_mutex_lock(&services->lock);
     GArray *copy = g_array_copy(services->worker.runs);
