Tests: copies of starts across takeovers, gangs, lost batches and answers

Need: the random events of core_late_copies have one controller, jobs of one task and a worker that answers everything, and copies come after every step. Nothing covered a copy that comes only in a later term, another owner, a batch whose answer, or which itself, was lost, a plan from an older store cache, or gangs.

Change: 60 seeds of 300 such events with a second controller that joins and leaves, services, gangs and arrays of up to three tasks; each start batch arrives again after a step with probability 0.3.

--- a/tests/test_core_late_copies.c
+++ b/tests/test_core_late_copies.c
@@ -398,7 +398,7 @@
         worker_fleet_deliver_copies(&run.fleet);
         assert_no_task_runs_wrongly(&run, seed, step);
     }
-    assert_true(run.fleet.answered_batches->len > 20);
+    assert_true(run.fleet.start_batches->len > 20);
     worker_fleet_clear(&run.fleet);
     core_fixture_teardown((void **)&run.core);
     g_rand_free(run.random);
@@ -411,6 +411,134 @@
     }
 }
 
+/* ---- two owners, lost batches and answers ---- */
+
+#define OWNERS_SEEDS 60
+#define OWNERS_STEPS 300
+#define OWNERS_TASKS_MAX 3    /* of a job */
+#define OWNERS_QUIET_STEPS 80 /* at the end, without events */
+#define COPY_PROBABILITY 0.3  /* of each start batch, after each step */
+#define LAG_PROBABILITY 0.3   /* that a plan sees an older store cache */
+
+/* A random run with a second controller that joins, leaves and restarts. */
+struct owners_run {
+    struct random_run base;
+    test_controller second;
+    bool second_is_member;
+};
+
+static void submit_job_of_random_kind(struct random_run *run) {
+    static const char *const teams[] = {"red", "blue"};
+    char id[16];
+    int kind = g_rand_int_range(run->random, 0, 3);
+    if (run->job_count == RANDOM_JOBS_MAX) {
+        return;
+    }
+    format_job_id(run->job_count, id);
+    run->cancelled_at[run->job_count++] = -1;
+    fake_store_submit(run->core->store,
+                      &(struct test_job){.job_id = id,
+                                         .team = teams[g_rand_int_range(run->random, 0, 2)],
+                                         .service = kind == 0,
+                                         .gang = kind == 1,
+                                         .one_zone = kind == 1,
+                                         .task_count = (uint32_t)g_rand_int_range(
+                                             run->random, 1, OWNERS_TASKS_MAX + 1),
+                                         .cpus = 2,
+                                         .mem_gb = 2},
+                      run->core->controller.now);
+}
+
+/* Removes the second controller from the term if it is a member, or else adds it. */
+static void change_second_membership(struct owners_run *run) {
+    test_controller *first = &run->base.core->controller;
+    run->second_is_member = !run->second_is_member;
+    if (run->second_is_member) {
+        test_controller_join(&run->second, ++run->base.last_lease_id);
+    } else {
+        test_controller_delete_session(&run->second);
+        test_controller_begin_next_term(first);
+    }
+}
+
+static void cause_event_of_owners(struct owners_run *run, int step) {
+    struct random_run *base = &run->base;
+    int event = g_rand_int_range(base->random, 0, 100);
+    if (event < 25) {
+        submit_job_of_random_kind(base);
+    } else if (event < 35) {
+        change_second_membership(run);
+    } else {
+        cause_random_event(base, step);
+    }
+}
+
+static void assert_no_task_runs_twice(const struct random_run *run, unsigned seed, int step) {
+    char id[16];
+    for (int job = 0; job < run->job_count; job++) {
+        format_job_id(job, id);
+        for (uint32_t task = 0; task < OWNERS_TASKS_MAX; task++) {
+            int count = worker_fleet_count(&run->fleet, id, task);
+            if (count > 1) {
+                fail_msg("seed %u, step %d: %s/%u runs on %d workers", seed, step, id, task, count);
+            }
+        }
+    }
+}
+
+static void assert_no_cancelled_task_runs(const struct random_run *run, unsigned seed) {
+    char id[16];
+    for (int job = 0; job < run->job_count; job++) {
+        format_job_id(job, id);
+        for (uint32_t task = 0; task < OWNERS_TASKS_MAX && run->cancelled_at[job] >= 0; task++) {
+            if (worker_fleet_count(&run->fleet, id, task) > 0) {
+                fail_msg("seed %u: %s/%u runs after its cancellation", seed, id, task);
+            }
+        }
+    }
+}
+
+static void run_step_of_owners(struct owners_run *run, unsigned seed, int step) {
+    struct random_run *base = &run->base;
+    for (int i = 0; i < base->fleet.controller_count; i++) {
+        base->fleet.lagging[i] = g_rand_double(base->random) < LAG_PROBABILITY;
+    }
+    worker_fleet_run(&base->fleet, 1);
+    worker_fleet_deliver_some_copies(&base->fleet, base->random, COPY_PROBABILITY);
+    assert_no_task_runs_twice(base, seed, step);
+}
+
+static void run_owners_seed(unsigned seed) {
+    struct owners_run run = {.base = {.random = g_rand_new_with_seed(seed), .last_lease_id = 100}};
+    struct random_run *base = &run.base;
+    core_fixture_setup((void **)&base->core);
+    worker_fleet_init(&base->fleet, &base->core->controller, RANDOM_WORKERS);
+    base->fleet.loss_random = base->random;
+    test_controller_init(&run.second, base->core->store, "n1");
+    run.second.now = base->core->controller.now;
+    worker_fleet_add_controller(&base->fleet, &run.second);
+    for (int step = 0; step < OWNERS_STEPS; step++) {
+        cause_event_of_owners(&run, step);
+        run_step_of_owners(&run, seed, step);
+    }
+    for (int step = 0; step < OWNERS_QUIET_STEPS; step++) {
+        run_step_of_owners(&run, seed, OWNERS_STEPS + step);
+    }
+    assert_no_cancelled_task_runs(base, seed);
+    assert_true(base->fleet.start_batches->len > 20);
+    worker_fleet_clear(&base->fleet);
+    test_controller_clear(&run.second);
+    core_fixture_teardown((void **)&base->core);
+    g_rand_free(base->random);
+}
+
+static void copies_have_no_effect_across_takeovers_and_lost_answers(void **state) {
+    (void)state;
+    for (unsigned seed = 1; seed <= OWNERS_SEEDS; seed++) {
+        run_owners_seed(seed);
+    }
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, late_copies_setup, late_copies_teardown)
 
 int main(void) {
@@ -428,6 +556,7 @@
         cmocka_unit_test_setup_teardown(restarted_controller_does_not_count_kept_failures_again,
                                         one_worker_setup, late_copies_teardown),
         cmocka_unit_test(copies_of_all_starts_have_no_effect_under_random_events),
+        cmocka_unit_test(copies_have_no_effect_across_takeovers_and_lost_answers),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define PLAN_PERIOD_S 0.5
+#define LOSS_PROBABILITY 0.1 /* of a batch or its answer, if any are lost */
 
 /* ---- commands ---- */
 
@@ -103,22 +104,36 @@
     rr_command_batch *copy = g_memdup2(batch, sizeof *batch);
     copy->commands = g_array_new(FALSE, FALSE, sizeof(rr_command));
     g_array_append_vals(copy->commands, batch->commands->data, batch->commands->len);
-    g_ptr_array_add(fleet->answered_batches, copy);
+    g_ptr_array_add(fleet->start_batches, copy);
+}
+
+/* Reports the batch, which the worker may have executed, as unanswered. */
+static void lose_answer(worker_fleet *fleet, test_controller *controller,
+                        const rr_command_batch *batch) {
+    if (g_rand_boolean(fleet->loss_random)) {
+        execute_batch(find_worker(fleet, batch->machine), batch);
+    }
+    rr_core_record_command_result(controller->core, controller->now, batch,
+                                  RR_COMMAND_OUTCOME_UNKNOWN, false);
 }
 
 static void execute_and_answer(worker_fleet *fleet, test_controller *controller,
                                const rr_command_batch *batch) {
     worker_model *worker = find_worker(fleet, batch->machine);
     assert_non_null(worker);
+    if (has_start(batch)) {
+        keep_copy(fleet, batch);
+    }
+    if (fleet->loss_random && g_rand_double(fleet->loss_random) < LOSS_PROBABILITY) {
+        lose_answer(fleet, controller, batch);
+        return;
+    }
     bool executed = execute_batch(worker, batch);
     rr_heartbeat answer = make_heartbeat(worker);
     rr_core_apply_command_reply(controller->core, controller->now, &answer, -1);
     rr_heartbeat_clear(&answer);
     rr_core_record_command_result(controller->core, controller->now, batch, RR_COMMAND_ANSWERED,
                                   executed);
-    if (executed && has_start(batch)) {
-        keep_copy(fleet, batch);
-    }
 }
 
 /* ---- the fleet ---- */
@@ -126,7 +141,7 @@
 void worker_fleet_init(worker_fleet *fleet, test_controller *controller, int worker_count) {
     memset(fleet, 0, sizeof *fleet);
     fleet->worker_count = worker_count;
-    fleet->answered_batches = g_ptr_array_new_with_free_func((GDestroyNotify)rr_command_batch_free);
+    fleet->start_batches = g_ptr_array_new_with_free_func((GDestroyNotify)rr_command_batch_free);
     for (int i = 0; i < worker_count; i++) {
         worker_model *worker = &fleet->workers[i];
         *worker = (worker_model){.worker_epoch = 1, .spot_notice_s = -1};
@@ -141,7 +156,7 @@
     for (int i = 0; i < fleet->worker_count; i++) {
         g_array_free(fleet->workers[i].tasks, TRUE);
     }
-    g_ptr_array_free(fleet->answered_batches, TRUE);
+    g_ptr_array_free(fleet->start_batches, TRUE);
 }
 
 void worker_fleet_add_controller(worker_fleet *fleet, test_controller *controller) {
@@ -176,7 +191,9 @@
     for (int i = 0; i < fleet->controller_count; i++) {
         test_controller *controller = fleet->controllers[i];
         rr_plan plan;
-        fake_store_sync(controller->store, controller->core, controller->now);
+        if (!fleet->lagging[i]) {
+            test_controller_begin_next_term(controller); /* if one is due */
+        }
         test_controller_plan(controller, &plan);
         for (guint k = 0; k < plan.command_batches->len; k++) {
             execute_and_answer(fleet, controller, g_ptr_array_index(plan.command_batches, k));
@@ -194,12 +211,21 @@
 }
 
 void worker_fleet_deliver_copies(worker_fleet *fleet) {
-    for (guint i = 0; i < fleet->answered_batches->len; i++) {
-        const rr_command_batch *batch = g_ptr_array_index(fleet->answered_batches, i);
+    for (guint i = 0; i < fleet->start_batches->len; i++) {
+        const rr_command_batch *batch = g_ptr_array_index(fleet->start_batches, i);
         execute_batch(find_worker(fleet, batch->machine), batch);
     }
 }
 
+void worker_fleet_deliver_some_copies(worker_fleet *fleet, GRand *random, double probability) {
+    for (guint i = 0; i < fleet->start_batches->len; i++) {
+        const rr_command_batch *batch = g_ptr_array_index(fleet->start_batches, i);
+        if (g_rand_double(random) < probability) {
+            execute_batch(find_worker(fleet, batch->machine), batch);
+        }
+    }
+}
+
 /* ---- tasks ---- */
 
 /* Returns the task's status on the worker unless it has ended there. */
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -23,7 +23,11 @@
     int worker_count;
     test_controller *controllers[WORKER_CONTROLLERS_MAX]; /* not owned */
     int controller_count;
-    GPtrArray *answered_batches; /* rr_command_batch*: copies of all that had a start command */
+    bool lagging[WORKER_CONTROLLERS_MAX]; /* by controller: its next plan sees an older store cache
+                                           */
+    GRand *loss_random;                   /* not owned; NULL: no batch or answer is lost */
+    GPtrArray *start_batches; /* rr_command_batch*: copies of all with a start command, also
+                                   of those that were lost */
 } worker_fleet;
 
 /* Records the machines as the operators' own, and sends the first heartbeats. */
@@ -36,7 +40,8 @@
 void worker_fleet_advance(worker_fleet *fleet, double seconds);
 /* Sends a heartbeat of every worker to every controller. */
 void worker_fleet_report(worker_fleet *fleet);
-/* Plans once at every controller. The workers execute and answer the commands. */
+/* Plans once at every controller, after it has begun the next term if one is due. The workers
+ * execute and answer the commands. */
 void worker_fleet_plan(worker_fleet *fleet);
 /* Reports and plans `count` times, half a second apart. */
 void worker_fleet_run(worker_fleet *fleet, int count);
@@ -44,6 +49,9 @@
 /* Delivers every batch with a start command once more, without an answer to anybody. */
 void worker_fleet_deliver_copies(worker_fleet *fleet);
 
+/* Delivers each of these batches with this probability. */
+void worker_fleet_deliver_some_copies(worker_fleet *fleet, GRand *random, double probability);
+
 /* Returns the worker on which the task has not ended, NULL: there is none. */
 worker_model *worker_fleet_find(worker_fleet *fleet, const char *job_id, uint32_t task);
 /* Returns the number of workers on which the task has not ended. */
