Request a new term after 4 s where ended attempts keep work off a machine

Need: a consequence of keeping ended attempts for a term. A machine that shows 256 of them gets no new work until they are reaped, and the term that allows that came after 15 s of the present one at the earliest: some 17 ended tasks a second and machine, whatever the machine could do.

Change: if a machine shows the 256, the present term needs to have lasted 4 s only.

Ruled out: to reap completed attempts at once, since their result is kept. A copy of such a start fetches the image and starts the task for a moment, which may come after the job's cancellation has been confirmed or in another zone than the job's tasks are in by then. A limit above 256 takes the room of running tasks in the heartbeat.

--- a/src/core/health/machine_health.c
+++ b/src/core/health/machine_health.c
@@ -19,7 +19,8 @@
 /* A machine gets no new work after this many consecutive commands without an answer. */
 #define COMMANDS_UNANSWERED_MAX 2
 
-/* A machine that reports this many ended tasks gets no new work. */
+/* A machine that reports this many ended tasks gets no new work, so that its heartbeat, which has a
+ * size limit, keeps room for the tasks that run. */
 #define ENDED_TASKS_MAX 256
 
 /* A machine's name counts as reused after this many consecutive answers, over this time, that are
@@ -97,8 +98,7 @@
            count_credible_failures(machine) > 0;
 }
 
-/* Room for running tasks is left in a heartbeat, which has a size limit. */
-static bool reports_too_many_ended_tasks(const rr_machine *machine) {
+bool rr_machine_full_of_ended_tasks(const rr_machine *machine) {
     return machine->ended_task_count >= ENDED_TASKS_MAX;
 }
 
@@ -109,7 +109,7 @@
            rr_machine_heartbeat_recent(core, machine, now) &&
            machine->heartbeat.spot_notice_s < 0 && now >= machine->full_until &&
            !rr_machine_quarantined(machine, now) && !machine->to_release &&
-           !reports_too_many_ended_tasks(machine) && !rr_machine_commands_unanswered(machine) &&
+           !rr_machine_full_of_ended_tasks(machine) && !rr_machine_commands_unanswered(machine) &&
            !rr_machine_heartbeats_lost(core, machine, now);
 }
 
--- a/src/core/health/machine_health.h
+++ b/src/core/health/machine_health.h
@@ -38,6 +38,9 @@
 /* Returns whether a task of a job that is not itself at fault failed on the machine recently. */
 bool rr_machine_failed_recently(const rr_machine *machine, double now);
 
+/* Returns whether the machine reports so many ended tasks that it gets no new work. */
+bool rr_machine_full_of_ended_tasks(const rr_machine *machine);
+
 /* Returns whether new tasks may be placed on the machine now. */
 bool rr_machine_schedulable(const rr_core *core, const rr_machine *machine, double now);
 
--- a/src/core/scheduling/late_start_blocks.c
+++ b/src/core/scheduling/late_start_blocks.c
@@ -1,6 +1,7 @@
 /* Bounds the number of ended attempts that block late starts on a machine. */
 #include "core/scheduling/late_start_blocks.h"
 #include "core/core_internal.h"
+#include "core/health/machine_health.h"
 #include "core/membership/term.h"
 #include "core/scheduling/placement_verdict.h"
 #include "core/state/machines.h"
@@ -13,9 +14,11 @@
 #define STARTS_FOR_NEW_TERM 32768
 /* A term is not replaced for these reasons before it has lasted this long. */
 #define TERM_DURATION_MIN_S 15.0
+/* The same if a machine gets no new work until its ended attempts are reaped. */
+#define TERM_DURATION_MIN_BLOCKED_S 4.0
 
-static bool term_is_young(const struct rr_planner *planner) {
-    return planner->now - planner->core->planning.term_planned_since < TERM_DURATION_MIN_S;
+static bool term_is_younger_than(const struct rr_planner *planner, double duration_s) {
+    return planner->now - planner->core->planning.term_planned_since < duration_s;
 }
 
 /* Whether one of the ended attempts that the machine reports has to be kept in this term. */
@@ -35,7 +38,9 @@
         !blocks_any_start(core, machine)) {
         return false;
     }
-    if (term_is_young(planner)) {
+    bool blocked = rr_machine_full_of_ended_tasks(machine);
+    if (term_is_younger_than(planner,
+                             blocked ? TERM_DURATION_MIN_BLOCKED_S : TERM_DURATION_MIN_S)) {
         return true;
     }
     rr_log_at(core, RR_LOG_INFO,
@@ -49,7 +54,8 @@
 void rr_request_term_for_many_starts(const struct rr_planner *planner) {
     rr_core *core = planner->core;
     unsigned starts_max = STARTS_FOR_NEW_TERM / MAX(core->membership.shard_count, 1);
-    if (core->planning.starts_in_term < starts_max || term_is_young(planner)) {
+    if (core->planning.starts_in_term < starts_max ||
+        term_is_younger_than(planner, TERM_DURATION_MIN_S)) {
         return;
     }
     rr_log_at(core, RR_LOG_INFO,
