late_copies_processes: start killed controllers also after the last job

A controller that is killed just before the submissions end was started again only while jobs were open.

--- a/tests/test_late_copies_processes.c
+++ b/tests/test_late_copies_processes.c
@@ -110,12 +110,16 @@
     run.restart_at[i] = rr_steady_clock_s() + DOWNTIME_S;
 }
 
-static void start_controllers_that_are_due(void) {
+/* Returns how many controllers are still down. */
+static unsigned start_controllers_that_are_due(void) {
+    unsigned down = 0;
     for (int i = 0; i < CONTROLLERS; i++) {
         if (run.restart_at[i] > 0 && rr_steady_clock_s() >= run.restart_at[i]) {
             start_controller(i);
         }
+        down += run.restart_at[i] > 0;
     }
+    return down;
 }
 
 /* ---- users ---- */
@@ -235,9 +239,8 @@
 
 static void wait_until_settled(void) {
     double deadline = rr_steady_clock_s() + SETTLE_MAX_S;
-    while (follow_jobs() > 0) {
+    while (start_controllers_that_are_due() > 0 || follow_jobs() > 0) {
         assert_true(rr_steady_clock_s() < deadline);
-        start_controllers_that_are_due();
         rr_sleep(LOOP_PERIOD_S);
     }
 }
