--- a/tests/fake_cloud.c
+++ b/tests/fake_cloud.c
@@ -62,6 +62,7 @@
 static int answer_release(struct fake_worker *worker) {
     worker->rented = false;
     g_array_set_size(worker->tasks, 0);
+    fake_late_copies_drop(worker->late_copies);
     return 200;
 }
 
--- a/tests/fake_late_copies.c
+++ b/tests/fake_late_copies.c
@@ -82,6 +82,10 @@
     return false;
 }
 
+void fake_late_copies_drop(struct fake_late_copies *copies) {
+    g_ptr_array_set_size(copies->pending, 0);
+}
+
 unsigned fake_late_copies_count(const struct fake_late_copies *copies) {
     return copies->taken_count;
 }
--- a/tests/fake_services_internal.h
+++ b/tests/fake_services_internal.h
@@ -102,6 +102,8 @@
 /* Removes a copy that is due and parses it into *batch, which the caller clears. Returns false, and
  * leaves *batch alone, if none is due. */
 bool fake_late_copies_take_due(struct fake_late_copies *copies, rr_document *batch);
+/* Removes all copies: the machine is gone. */
+void fake_late_copies_drop(struct fake_late_copies *copies);
 /* Returns the number of copies that were taken. */
 unsigned fake_late_copies_count(const struct fake_late_copies *copies);
 
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -308,6 +308,7 @@
         }
     }
     g_array_set_size(worker->tasks, 0);
+    fake_late_copies_drop(worker->late_copies);
     worker->rented = false;
     pthread_mutex_unlock(&services->lock);
 }
--- a/tests/test_core_ended_attempts.c
+++ b/tests/test_core_ended_attempts.c
@@ -19,7 +19,7 @@
 /* Stated in docs/design.md, "Ended attempts that are kept". */
 #define ENDED_MAX 256
 #define TERM_DURATION_MIN_S 15
-#define HEARTBEAT_MAX_BYTES (64 * 1024) /* in JSON; limit of the protocol */
+#define HEARTBEAT_MAX_BYTES 65536 /* in JSON; limit of the protocol */
 
 struct hour {
     core_fixture *core;
